--- a/src/line_dispatch.cpp
+++ b/src/line_dispatch.cpp
@@ -57,7 +57,7 @@
 
 Position readPosition(const line::LogPosition &P) { return {P.term(), P.index()}; }
 
-void closeConnection(InstanceDispatch &D, const std::shared_ptr<InstanceConnection> &C) {
+void closeConnection(InstanceDispatch &D, const std::shared_ptr<LinePoolConnection> &C) {
   if (std::exchange(C->m_Broken, true))
     return;
   closeSocket(C->m_Line.m_Socket);
@@ -100,7 +100,7 @@
 };
 
 // Reads up to the next ready message; nothing if the connection ended before.
-Awaitable<std::optional<Answer>> readAnswer(std::shared_ptr<InstanceConnection> C) {
+Awaitable<std::optional<Answer>> readAnswer(const std::shared_ptr<LinePoolConnection> &C) {
   Answer A;
   bool Ended = false; // complete or error seen
   for (;;) {
@@ -129,7 +129,8 @@
 }
 
 // Sends statements of the host's own and reads their answers. Returns whether all succeeded.
-Awaitable<bool> runOwn(std::shared_ptr<InstanceConnection> C, std::vector<std::string> Texts) {
+Awaitable<bool> runOwn(const std::shared_ptr<LinePoolConnection> &C,
+                       const std::vector<std::string> &Texts) {
   std::string Output;
   for (const std::string &Text : Texts)
     Output += platform::formatQuery(platform::OwnStatementId, Text);
@@ -146,7 +147,7 @@
 }
 
 // Gives the connection what the session has established. Returns whether it holds it now.
-Awaitable<bool> prepare(std::shared_ptr<InstanceConnection> C, const RunRequest &Request) {
+Awaitable<bool> prepare(const std::shared_ptr<LinePoolConnection> &C, const RunRequest &Request) {
   std::map<std::string, std::string> Values;
   for (const auto &Value : Request.values())
     Values[Value.name()] = Value.value();
@@ -161,7 +162,7 @@
     Texts.push_back(platform::formatSet(Name, Value));
   if (Plan.m_Prepare)
     Texts.push_back(platform::formatPrepare(Plan.m_Prepare->first, Plan.m_Prepare->second));
-  if (!co_await runOwn(C, std::move(Texts)))
+  if (!co_await runOwn(C, Texts))
     co_return false;
   applyPreparation(C->m_Content, Plan);
   co_return true;
@@ -186,7 +187,7 @@
 
 // Opens the transaction of a first statement. Nothing is sent with it: a statement that arrives
 // after a refused begin would run on its own.
-Awaitable<std::optional<RunReply>> begin(std::shared_ptr<InstanceConnection> C,
+Awaitable<std::optional<RunReply>> begin(const std::shared_ptr<LinePoolConnection> &C,
                                          const RunRequest &Request) {
   std::string Text = Request.read_only() ? textWithPosition(Request, "BEGIN READ") : "BEGIN";
   if (!co_await writeText(C->m_Line, platform::formatQuery(Request.begin_id(), Text)))
@@ -202,7 +203,8 @@
 }
 
 // Runs the statement of the request on a prepared connection.
-Awaitable<RunReply> exchange(std::shared_ptr<InstanceConnection> C, const RunRequest &Request) {
+Awaitable<RunReply> exchange(const std::shared_ptr<LinePoolConnection> &C,
+                             const RunRequest &Request) {
   bool Led = Request.mode() == RunRequest::SINGLE_LED;
   bool Inside = Request.mode() != RunRequest::SINGLE && !Led;
   std::string Output;
@@ -250,13 +252,13 @@
 
 // --- Connections ---
 
-Awaitable<std::shared_ptr<InstanceConnection>>
+Awaitable<std::shared_ptr<LinePoolConnection>>
 openConnection(LineHost &Host, std::string Instance, std::string Group, std::string Customer) {
   InstanceDispatch &D = Host.m_Dispatches[Instance];
   auto Endpoint = parseEndpoint(D.m_Address);
   if (!Endpoint)
-    co_return nullptr;
-  auto C = std::make_shared<InstanceConnection>(Tcp::socket(Host.m_Io));
+    co_return std::shared_ptr<LinePoolConnection>();
+  auto C = std::make_shared<LinePoolConnection>(Tcp::socket(Host.m_Io));
   ++D.m_Open;
   C->m_Customer = Customer;
   ScopedDeadline Limit(Host.m_Watchdog, bootNow() + ConnectTimeout,
@@ -284,19 +286,19 @@
           {{"instance", Instance}, {"customer", Customer}, {"why", Why}});
   if (!Full)
     markUnreachable(Host, Instance, D, Why);
-  co_return nullptr;
+  co_return std::shared_ptr<LinePoolConnection>();
 }
 
 // Whether the far end has closed an idle connection: a statement sent on it would be lost.
-bool isClosed(const InstanceConnection &C) {
+bool isClosed(const LinePoolConnection &C) {
   char Byte = 0;
-  ssize_t Read = recv(const_cast<InstanceConnection &>(C).m_Line.m_Socket.native_handle(), &Byte, 1,
+  ssize_t Read = recv(const_cast<LinePoolConnection &>(C).m_Line.m_Socket.native_handle(), &Byte, 1,
                       MSG_PEEK | MSG_DONTWAIT);
   return Read >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
 // An idle connection of the customer, best the one that needs the least preparation.
-std::shared_ptr<InstanceConnection> takeIdle(InstanceDispatch &D, const RunRequest &Request) {
+std::shared_ptr<LinePoolConnection> takeIdle(InstanceDispatch &D, const RunRequest &Request) {
   std::map<std::string, std::string> Values;
   for (const auto &Value : Request.values())
     Values[Value.name()] = Value.value();
@@ -322,27 +324,29 @@
   return takeIdle(D, Request);
 }
 
-Awaitable<std::shared_ptr<InstanceConnection>> takeConnection(LineHost &Host,
+Awaitable<std::shared_ptr<LinePoolConnection>> takeConnection(LineHost &Host,
                                                               const RunRequest &Request) {
   InstanceDispatch &D = Host.m_Dispatches[Request.instance()];
-  if (auto Idle = takeIdle(D, Request))
-    co_return Idle;
+  std::shared_ptr<LinePoolConnection> Taken = takeIdle(D, Request);
+  if (Taken)
+    co_return Taken;
   auto Group = Host.m_Groups.find(Request.group());
   uint32_t Most = Group == Host.m_Groups.end() ? 1 : Group->second.m_MaxConnections;
   auto Budget = std::max<uint32_t>(1, static_cast<uint32_t>(Most * ConnectionShare));
   if (D.m_Open >= Budget) {
     if (D.m_Idle.empty())
-      co_return nullptr;
+      co_return std::shared_ptr<LinePoolConnection>();
     auto Oldest = D.m_Idle.back();
     D.m_Idle.pop_back();
     closeConnection(D, Oldest);
   }
   if (bootNow() < D.m_RetryAt)
-    co_return nullptr;
-  co_return co_await openConnection(Host, Request.instance(), Request.group(), Request.customer());
+    co_return std::shared_ptr<LinePoolConnection>();
+  Taken = co_await openConnection(Host, Request.instance(), Request.group(), Request.customer());
+  co_return Taken;
 }
 
-void releaseConnection(InstanceDispatch &D, const std::shared_ptr<InstanceConnection> &C,
+void releaseConnection(InstanceDispatch &D, const std::shared_ptr<LinePoolConnection> &C,
                        bool Reusable) {
   if (C->m_Broken)
     return;
@@ -411,7 +415,7 @@
 }
 
 // Exchange with a time limit: a connection without an answer by then is closed.
-Awaitable<RunReply> exchangeInTime(LineHost &Host, std::shared_ptr<InstanceConnection> C,
+Awaitable<RunReply> exchangeInTime(LineHost &Host, const std::shared_ptr<LinePoolConnection> &C,
                                    const RunRequest &Request) {
   InstanceDispatch &D = Host.m_Dispatches[Request.instance()];
   auto Close = [C] { closeSocket(C->m_Line.m_Socket); };
@@ -439,13 +443,13 @@
   co_return Reply;
 }
 
-Awaitable<void> rollBack(LineHost &Host, PinnedTransaction T) {
-  InstanceDispatch &D = Host.m_Dispatches[T.m_Instance];
-  auto C = T.m_Connection;
+Awaitable<void> rollBack(LineHost &Host, std::string Instance,
+                         std::shared_ptr<LinePoolConnection> C) {
+  InstanceDispatch &D = Host.m_Dispatches[Instance];
   ScopedDeadline Limit(Host.m_Watchdog, bootNow() + ProbeTimeout,
                        [C] { closeSocket(C->m_Line.m_Socket); });
   std::vector<std::string> Texts(1, "ROLLBACK");
-  bool Done = co_await runOwn(C, std::move(Texts));
+  bool Done = co_await runOwn(C, Texts);
   releaseConnection(D, C, Done);
 }
 
@@ -459,7 +463,7 @@
   }
   PinnedTransaction T = std::move(Found->second);
   Host.m_Transactions.erase(Found);
-  asio::co_spawn(Host.m_Io, rollBack(Host, std::move(T)), asio::detached);
+  asio::co_spawn(Host.m_Io, rollBack(Host, T.m_Instance, T.m_Connection), asio::detached);
 }
 
 void refreshDispatch(LineHost &Host, const RunRequest &Request, InstanceDispatch &D) {
@@ -525,7 +529,10 @@
   bool Open = Request.mode() == RunRequest::OPEN && Reply.outcome() == RunReply::ANSWERED &&
               Reply.state() != "I";
   if (Open) {
-    Host.m_Transactions[Key] = {C, Request.instance(), Request.customer(), false, false};
+    PinnedTransaction &T = Host.m_Transactions[Key];
+    T.m_Connection = C;
+    T.m_Instance = Request.instance();
+    T.m_Customer = Request.customer();
     co_return Reply;
   }
   releaseConnection(D, C, Reply.outcome() == RunReply::ANSWERED && Reply.state() == "I");
--- a/src/line_host.h
+++ b/src/line_host.h
@@ -59,8 +59,8 @@
 // [SECTION] Dispatcher of an instance (line_dispatch.cpp)
 //-----------------------------------------------------------------------------
 
-struct InstanceConnection {
-  explicit InstanceConnection(Tcp::socket Socket) : m_Line(std::move(Socket)) {}
+struct LinePoolConnection {
+  explicit LinePoolConnection(Tcp::socket Socket) : m_Line(std::move(Socket)) {}
   LineConnection m_Line;
   std::string m_Customer;
   ConnectionContent m_Content;
@@ -79,7 +79,7 @@
 using TransactionKey = std::pair<uint64_t, uint64_t>;
 
 struct PinnedTransaction {
-  std::shared_ptr<InstanceConnection> m_Connection;
+  std::shared_ptr<LinePoolConnection> m_Connection;
   std::string m_Instance;
   std::string m_Customer;
   bool m_Busy = false;      // a statement is running
@@ -89,8 +89,8 @@
 struct InstanceDispatch {
   FairQueue m_Queue;
   std::map<uint64_t, std::shared_ptr<SlotWaiter>> m_Waiters; // by request id
-  std::list<std::shared_ptr<InstanceConnection>> m_Idle;     // last used first
-  std::set<std::shared_ptr<InstanceConnection>> m_Running;   // with a statement in progress
+  std::list<std::shared_ptr<LinePoolConnection>> m_Idle;     // last used first
+  std::set<std::shared_ptr<LinePoolConnection>> m_Running;   // with a statement in progress
   uint32_t m_Open = 0;                                       // connections, idle or not
   Duration m_Service{};                                      // smoothed time of a statement
   TimePoint m_AnsweredAt{};                                  // last answer
--- a/src/line_peer.cpp
+++ b/src/line_peer.cpp
@@ -99,9 +99,11 @@
   configureSocket(Socket);
   auto Frames = std::make_shared<FrameConnection>(std::move(Socket));
   uint64_t Link = Host.m_NextNumber++;
-  co_await readFrames(Frames, [&Host, Frames, Link](std::string_view Bytes) {
+  // Named: g++ 12 destroys captures of a lambda twice that is an argument of an awaited call.
+  std::function<void(std::string_view)> Handle = [&Host, &Frames, Link](std::string_view Bytes) {
     handleFrame(Host, Frames, Link, Bytes);
-  });
+  };
+  co_await readFrames(Frames, Handle);
   abandonTransactions(Host, Link);
 }
 
@@ -123,7 +125,10 @@
 
 Awaitable<void> readLink(LineHost &Host, std::string Peer,
                          std::shared_ptr<FrameConnection> Frames) {
-  co_await readFrames(Frames, [&](std::string_view Bytes) { handleReply(Host, Peer, Bytes); });
+  std::function<void(std::string_view)> Handle = [&Host, &Peer](std::string_view Bytes) {
+    handleReply(Host, Peer, Bytes);
+  };
+  co_await readFrames(Frames, Handle);
   PeerLink &Link = Host.m_Links[Peer];
   if (Link.m_Frames == Frames) {
     Link.m_Frames = nullptr;
@@ -158,7 +163,7 @@
 Awaitable<std::shared_ptr<FrameConnection>> getLink(LineHost &Host, std::string Peer) {
   auto Known = Host.m_Members.m_Hosts.find(Peer);
   if (Known == Host.m_Members.m_Hosts.end())
-    co_return nullptr;
+    co_return std::shared_ptr<FrameConnection>();
   PeerLink &Link = Host.m_Links[Peer];
   if (Link.m_Frames && Link.m_Address != Known->second.m_Address)
     closeFrames(*std::exchange(Link.m_Frames, nullptr));
--- a/src/line_session.cpp
+++ b/src/line_session.cpp
@@ -304,7 +304,7 @@
   asio::co_spawn(Host.m_Io, Send(Host, std::move(Request), T.m_Dispatcher), asio::detached);
 }
 
-Awaitable<CallerAnswer> runFirst(LineHost &Host, CallerSession &S, FirstRun Run) {
+Awaitable<CallerAnswer> runFirst(LineHost &Host, CallerSession &S, const FirstRun &Run) {
   TimePoint Deadline = bootNow() + Run.m_Route->m_Timeout;
   std::set<std::string> Tried;
   CallerAnswer Last = refuse("BUSY", "no instance can serve this now", Reason::NoPrimary);
--- a/src/line_sync.cpp
+++ b/src/line_sync.cpp
@@ -264,14 +264,19 @@
       if (!Object.m_Deleted && Object.m_Name == platform::ConfigName)
         applyConfig(Host, Object.m_Payload, "store");
   };
-  co_await followKind(Host, platform::ConfigKind, Take, Take);
+  std::function<void(StoreSnapshot)> TakeList = Take;
+  std::function<void(const StoreSnapshot &)> TakeChanges = Take;
+  co_await followKind(Host, platform::ConfigKind, TakeList, TakeChanges);
 }
 
 Awaitable<void> syncInstances(LineHost &Host) {
-  co_await followKind(
-      Host, platform::InstanceKind,
-      [&Host](StoreSnapshot List) { applyInstanceList(Host, std::move(List)); },
-      [&Host](const StoreSnapshot &Changes) { applyInstanceChanges(Host, Changes); });
+  std::function<void(StoreSnapshot)> TakeList = [&Host](StoreSnapshot List) {
+    applyInstanceList(Host, std::move(List));
+  };
+  std::function<void(const StoreSnapshot &)> TakeChanges = [&Host](const StoreSnapshot &Changes) {
+    applyInstanceChanges(Host, Changes);
+  };
+  co_await followKind(Host, platform::InstanceKind, TakeList, TakeChanges);
 }
 
 Awaitable<void> registerHost(LineHost &Host) {
