Share a customer's rate by offered demand and repay the fleet's debt

A host weighed its own offered demand against the others' admitted one, so that shares added up to more than the rate, and a debt was never repaid. Ruled out: internal retries (not counted twice) and refunds.

--- a/src/line_gossip.cpp
+++ b/src/line_gossip.cpp
@@ -150,7 +150,8 @@
   for (const line::InstanceNews &News : Message.instances())
     takeInstanceNews(Host, News, Now);
   for (const line::CustomerUse &Use : Message.uses())
-    noteRemoteUse(Host.m_Usage, Use.customer(), From, Message.incarnation(), Use.admitted(), Now);
+    noteRemoteUse(Host.m_Usage, Use.customer(), From,
+                  {Message.incarnation(), Use.admitted(), Use.offered()}, Now);
   bool Newer = Peer.m_ConfigVersion > (Host.m_Config ? Host.m_Config->m_Version : 0) ||
                (Peer.m_InstancesRevision > Host.m_Store.m_InstancesRevision &&
                 Now - Host.m_Store.m_InstancesAt > WatchHeadStart);
@@ -200,7 +201,8 @@
   for (const auto &[Name, Use] : Host.m_Usage.m_Customers) {
     line::CustomerUse &Told = *Message.add_uses();
     Told.set_customer(Name);
-    Told.set_admitted(Use.m_Admitted);
+    Told.set_admitted(static_cast<float>(Use.m_Admitted));
+    Told.set_offered(static_cast<float>(offeredRate(Use, Now)));
   }
   auto &Hosts = Host.m_Members.m_Hosts;
   for (size_t I = 0; I < std::min(KnownPerDatagram, Hosts.size()); ++I)
--- a/src/usage.cpp
+++ b/src/usage.cpp
@@ -2,9 +2,10 @@
 //
 // Every host charges the same bucket with what it admits itself (at once) and with what the others
 // report (late by an exchange interval). Between reports the others are assumed to go on at their
-// last rate. As long as the bucket is well filled every request is admitted. Once it is low, a host
-// admits only its share of the rate, in proportion to its part of the customer's demand: what the
-// others admit unheard then no longer adds up to an excess.
+// last rate. While the bucket holds more than the hosts may admit unheard of each other, every
+// request is admitted. Once it is lower, a host admits only its share of the rate, in proportion to
+// its part of the customer's demand: what the others admit unheard then no longer adds up to an
+// excess.
 //
 // The debt left by late reports is repaid from the rate, so an excess does not accumulate over
 // windows. A host that is not heard is assumed to go on, which bounds the sum when the fleet is
@@ -19,14 +20,19 @@
 
 namespace {
 
-// Part of the burst below which hosts keep to their shares.
-constexpr double LowLevel = 0.5;
+// Part of the burst below which hosts always keep to their shares: a leap of demand shows in the
+// smoothed rates only after some tenths of a second.
+constexpr double LowLevel = 0.2;
+// Time within which the other hosts admit unheard: a report interval, a lost report and the way.
+constexpr double UnheardSeconds = 0.4;
 // Part of the burst that a customer starts with.
 constexpr double InitialLevel = 0.6;
 // Seconds over which demand is averaged.
 constexpr double DemandSeconds = 1.0;
 // Seconds of a share that may be saved up.
 constexpr double ShareSeconds = 0.5;
+// Least part of a share that is left while a debt is repaid.
+constexpr double LeastRepay = 0.3;
 // A host not heard for so long has stopped.
 constexpr std::chrono::seconds ForgetAfter{6};
 // Weight of a new measurement of another host's rate.
@@ -53,18 +59,19 @@
 
 double remoteDemand(const CustomerUsage &C) {
   return std::accumulate(C.m_Remote.begin(), C.m_Remote.end(), 0.0,
-                         [](double Sum, const auto &R) { return Sum + R.second.m_PerSecond; });
+                         [](double Sum, const auto &R) { return Sum + R.second.m_Last.m_Offered; });
 }
 
 void noteOffer(CustomerUsage &C, TimePoint Now) {
-  C.m_Offered = C.m_Offered * decayFactor(Now - C.m_OfferedAt) + 1.0 / DemandSeconds;
+  C.m_Offered = offeredRate(C, Now) + 1.0 / DemandSeconds;
   C.m_OfferedAt = Now;
 }
 
-// Whether this host's share of the rate has room.
+// Whether this host's share of the rate has room. A debt of the fleet shrinks all shares.
 bool takeShare(CustomerUsage &C, TimePoint Now) {
-  double Own = C.m_Offered;
-  double PerSecond = C.m_Rate * Own / std::max(Own + remoteDemand(C), 1e-9);
+  double Part = C.m_Offered / std::max(C.m_Offered + remoteDemand(C), 1e-9);
+  double Repay = std::clamp(1 + C.m_Level / C.m_Burst, LeastRepay, 1.0);
+  double PerSecond = C.m_Rate * Part * Repay;
   C.m_Share = std::min(std::max(1.0, PerSecond * ShareSeconds),
                        C.m_Share + PerSecond * seconds(Now - C.m_ShareFilled));
   C.m_ShareFilled = Now;
@@ -89,8 +96,12 @@
   C.m_Level = std::min(C.m_Level, Burst);
 }
 
+double offeredRate(const CustomerUsage &C, TimePoint Now) {
+  return C.m_Offered * decayFactor(Now - C.m_OfferedAt);
+}
+
 void noteRemoteUse(UsageState &State, const std::string &Customer, const std::string &Host,
-                   uint64_t Incarnation, double Admitted, TimePoint Now) {
+                   const UseReport &Report, TimePoint Now) {
   auto Found = State.m_Customers.find(Customer);
   if (Found == State.m_Customers.end())
     return;
@@ -99,16 +110,16 @@
   std::erase_if(C.m_Remote, [&](const auto &R) { return Now - R.second.m_At > ForgetAfter; });
   auto [Entry, New] = C.m_Remote.try_emplace(Host);
   RemoteUse &R = Entry->second;
-  if (New || R.m_Incarnation != Incarnation) {
-    R = {Admitted, Incarnation, Now, 0, 0};
+  if (New || R.m_Last.m_Incarnation != Report.m_Incarnation) {
+    R = {Report, Now, 0, 0};
     return;
   }
-  double Used = Admitted - R.m_Admitted;
+  double Used = Report.m_Admitted - R.m_Last.m_Admitted;
   if (Used < 0 || Now <= R.m_At)
     return; // datagrams may overtake each other
   C.m_Level = std::min(C.m_Burst, C.m_Level + R.m_Anticipated - Used);
   double PerSecond = Used / std::max(seconds(Now - R.m_At), 0.01);
-  R = {Admitted, Incarnation, Now, R.m_PerSecond + (PerSecond - R.m_PerSecond) * RateWeight, 0};
+  R = {Report, Now, R.m_PerSecond + (PerSecond - R.m_PerSecond) * RateWeight, 0};
 }
 
 bool admitUse(UsageState &State, const std::string &Customer, TimePoint Now) {
@@ -118,7 +129,8 @@
   CustomerUsage &C = Found->second;
   refill(C, Now);
   noteOffer(C, Now);
-  bool Low = C.m_Level < C.m_Burst * LowLevel;
+  double Unheard = (C.m_Offered + remoteDemand(C)) * UnheardSeconds;
+  bool Low = C.m_Level < std::max(C.m_Burst * LowLevel, Unheard);
   if (Low && !takeShare(C, Now))
     return false;
   C.m_Level -= 1;
--- a/src/usage.h
+++ b/src/usage.h
@@ -10,10 +10,16 @@
 
 namespace quetzalpaddle {
 
+// What a host tells the others of a customer.
+struct UseReport {
+  uint64_t m_Incarnation = 0; // of the host's process
+  double m_Admitted = 0;      // requests since that process started
+  double m_Offered = 0;       // requests per second that arrive there
+};
+
 // What one other host has admitted, by its reports.
 struct RemoteUse {
-  double m_Admitted = 0; // since its process started, as last reported
-  uint64_t m_Incarnation = 0;
+  UseReport m_Last;
   TimePoint m_At{};         // of the report
   double m_PerSecond = 0;   // smoothed, to bridge the time to the next report
   double m_Anticipated = 0; // already charged beyond the report
@@ -43,7 +49,10 @@
 
 // Takes over another host's report.
 void noteRemoteUse(UsageState &State, const std::string &Customer, const std::string &Host,
-                   uint64_t Incarnation, double Admitted, TimePoint Now);
+                   const UseReport &Report, TimePoint Now);
+
+// Requests per second that arrive at this host, smoothed.
+double offeredRate(const CustomerUsage &C, TimePoint Now);
 
 // Decides on one request.
 bool admitUse(UsageState &State, const std::string &Customer, TimePoint Now);
