--- a/src/line_dispatch.cpp
+++ b/src/line_dispatch.cpp
@@ -70,8 +70,7 @@
     closeConnection(D, C);
 }
 
-void markUnreachable(LineHost &Host, const std::string &Instance, InstanceDispatch &D,
-                     std::string_view Why) {
+void markUnreachable(const std::string &Instance, InstanceDispatch &D, std::string_view Why) {
   TimePoint Now = bootNow();
   D.m_FailedAt = Now;
   D.m_Backoff = std::clamp<Duration>(D.m_Backoff * 2, FirstBackoff, MostBackoff);
@@ -285,7 +284,7 @@
   logLine(LogLevel::Warning, "connection_failed",
           {{"instance", Instance}, {"customer", Customer}, {"why", Why}});
   if (!Full)
-    markUnreachable(Host, Instance, D, Why);
+    markUnreachable(Instance, D, Why);
   co_return std::shared_ptr<LinePoolConnection>();
 }
 
@@ -556,7 +555,7 @@
   if (Answered) {
     markReachable(Instance, D);
   } else {
-    markUnreachable(Host, Instance, D, "no answer to statements or a probe");
+    markUnreachable(Instance, D, "no answer to statements or a probe");
     for (const auto &Running : std::set(D.m_Running))
       closeSocket(Running->m_Line.m_Socket);
   }
--- a/src/line_gossip.cpp
+++ b/src/line_gossip.cpp
@@ -21,15 +21,13 @@
 using std::chrono::microseconds;
 
 // Largest datagram that is not split on its way.
-constexpr size_t MaxDatagramBytes = 64 * 1024;
+constexpr size_t MaxDatagramBytes = 65536;
 // Hosts named in each datagram, so that every host hears of every other one.
 constexpr size_t KnownPerDatagram = 3;
 // A host is asked for a newer configuration at most this often.
 constexpr Millis AskInterval{250};
 // The own watch of the store gets this long before another host is asked.
 constexpr Millis WatchHeadStart{400};
-// A dispatcher's report that an instance cannot be reached, or that writes stall, holds so long.
-constexpr Millis ReportLapse{1500};
 
 uint64_t toMicros(TimePoint At) {
   return static_cast<uint64_t>(duration_cast<microseconds>(At.time_since_epoch()).count());
--- a/src/line_transport.cpp
+++ b/src/line_transport.cpp
@@ -22,7 +22,7 @@
 constexpr int KeepAliveIntervalSeconds = 1;
 constexpr int KeepAliveProbes = 2;
 
-constexpr size_t ReadBytes = 8 * 1024;
+constexpr size_t ReadBytes = 8192;
 constexpr size_t FrameHeaderBytes = 4;
 constexpr size_t MaxFrameBytes = 8 << 20;
 // Output waiting for a peer that does not read.
--- /dev/null
+++ b/tests/line_codec_test.cpp
@@ -0,0 +1,120 @@
+// The line protocol's messages and the store's objects, as the platform's pages show them.
+#include "platform/line_codec.h"
+#include "platform/store_codec.h"
+
+#include "line_host.h"
+#include "property.h"
+
+#include <criterion/criterion.h>
+
+using namespace quetzalpaddle;
+using namespace quetzalpaddle::platform;
+
+Test(line_codec, connect_and_release) {
+  auto Message = parseCallerMessage("CONNECT lepu270 u3f1");
+  cr_assert_eq(std::get<ConnectMessage>(Message).m_Database, "lepu270");
+  cr_assert_eq(std::get<ConnectMessage>(Message).m_Key, "u3f1");
+  cr_assert(std::holds_alternative<ReleaseMessage>(parseCallerMessage("RELEASE")));
+}
+
+Test(line_codec, statements) {
+  struct Case {
+    const char *m_Text;
+    StatementKind m_Kind;
+    const char *m_Name;
+    const char *m_Value;
+  };
+  for (const Case &C : std::initializer_list<Case>{
+           {"BEGIN", StatementKind::Begin, "", ""},
+           {"BEGIN READ", StatementKind::BeginRead, "", ""},
+           {"COMMIT", StatementKind::Commit, "", ""},
+           {"ROLLBACK", StatementKind::Rollback, "", ""},
+           {"READ 1a4", StatementKind::Read, "", ""},
+           {"WRITE 1a4 some data", StatementKind::Write, "", ""},
+           {"SET zone a b", StatementKind::Set, "zone", "a b"},
+           {"PREPARE s1 WRITE q2c", StatementKind::Prepare, "s1", "WRITE q2c"},
+           {"EXECUTE s1 1a4 data", StatementKind::Execute, "s1", ""},
+           {"DEALLOC s1", StatementKind::Deallocate, "s1", ""},
+           {"BEGIN NOW", StatementKind::Unknown, "", ""},
+           {"PREPARE s1 DROP x", StatementKind::Unknown, "s1", ""},
+           {"AFTER 1.1 READ x", StatementKind::Unknown, "", ""},
+           {"READ", StatementKind::Unknown, "", ""},
+           {"", StatementKind::Unknown, "", ""}}) {
+    Statement S = parseStatement("id", C.m_Text);
+    cr_expect(S.m_Kind == C.m_Kind, "%s", C.m_Text);
+    if (S.m_Kind == StatementKind::Unknown)
+      continue;
+    cr_expect_eq(S.m_Name, C.m_Name, "%s", C.m_Text);
+    cr_expect_eq(S.m_Value, C.m_Value, "%s", C.m_Text);
+  }
+}
+
+// A caller's id "-" would pass for a statement of the host's own.
+Test(line_codec, own_id_is_refused_to_callers) {
+  cr_assert(std::holds_alternative<MalformedMessage>(parseCallerMessage("QUERY - STATUS")));
+}
+
+Test(line_codec, any_line_is_parsed_or_refused) {
+  bool Held = checkProperty("caller lines", 7, 300, [](const std::string &Line) {
+    parseCallerMessage(Line);
+    parseCallerMessage("QUERY 1 " + Line);
+  });
+  bool Read = checkProperty("instance lines", 7, 300, [](const std::string &Line) {
+    parseInstanceMessage(Line);
+    parseInstanceMessage("READY " + Line);
+    parseStatus(Line);
+  });
+  cr_assert(Held && Read);
+}
+
+Test(line_codec, instance_messages) {
+  auto Ready = parseInstanceMessage("READY E 3.1209");
+  cr_assert(std::get<ReadyMessage>(Ready).m_State == TransactionState::Failed);
+  cr_assert(std::get<ReadyMessage>(Ready).m_Position == (Position{3, 1209}));
+  auto Error = parseInstanceMessage("ERROR READONLY i-7f3a91c2");
+  cr_assert_eq(std::get<ErrorMessage>(Error).m_Code, "READONLY");
+  auto Status = parseStatus("replica 3 3.1209 0 12 2 17");
+  cr_assert(Status && !Status->m_Primary && Status->m_Term == 3);
+  cr_assert(Status->m_Received == (Position{3, 1209}));
+  cr_assert_eq(formatReady(TransactionState::None, std::nullopt), "READY I -\r\n");
+  cr_assert_eq(formatQuery("a", formatAfter({3, 9}, "READ x")), "QUERY a AFTER 3.9 READ x\r\n");
+}
+
+Test(line_codec, configuration) {
+  auto Decoded = decodeConfig(R"({"meta":{"name":"main","revision":4},"spec":{"version":7,
+    "routes":[{"name":"r","host":"db1","routeType":"bounded_staleness","service":"s1",
+               "timeoutMs":2000,"maxStalenessMs":1500,"priority":2}],
+    "services":[{"name":"s1","maxConns":77,"syncReplicas":1}],"limits":{"txIdleMs":3000},
+    "tenants":[{"name":"t","apiKeys":["k1","k2"],"ratePerS":120,"burstSize":60}]}})");
+  const auto &Config = std::get<LineConfig>(Decoded);
+  cr_assert_eq(Config.m_Version, 7);
+  cr_assert(Config.m_Routes.at("db1").m_Kind == RouteKind::Bounded);
+  cr_assert(Config.m_Routes.at("db1").m_MaxStaleness == Millis(1500));
+  cr_assert_eq(Config.m_Keys.at("k2"), "t");
+  cr_assert_eq(Config.m_Groups.at("s1").m_MaxConnections, 77);
+  cr_assert(std::holds_alternative<std::string>(decodeConfig("{}")));
+}
+
+// Entries of other writers name no instance to use.
+Test(line_codec, malformed_instances_are_refused) {
+  std::string Good = R"({"meta":{"name":"i"},"spec":{"service":"s","address":"10.0.0.1:80",
+    "zoneId":"z","capacity":3,"serverState":"in_service","dbRole":"replica","seqNo":4}})";
+  cr_assert(std::holds_alternative<LineInstance>(decodeInstance(Good)));
+  for (auto [From, To] : {std::pair{"\"capacity\":3", "\"capacity\":\"three\""},
+                          {"in_service", "asleep"},
+                          {"\"dbRole\":\"replica\",", ""},
+                          {"10.0.0.1:80", "nowhere"},
+                          {"\"service\":\"s\"", "\"service\":5"}}) {
+    std::string Bad = Good;
+    Bad.replace(Bad.find(From), std::string(From).size(), To);
+    cr_expect(std::holds_alternative<std::string>(decodeInstance(Bad)), "%s", To);
+  }
+  cr_assert(std::holds_alternative<std::string>(decodeInstance("\xff{")));
+}
+
+Test(line_codec, entry_settings_report_every_error) {
+  auto Parsed = parseEntrySettings(R"({"host":"h", // comment
+    "data_centre":5, "callers":"10.0.0.1:1", "admin":"no address"})");
+  const auto &Errors = std::get<std::vector<std::string>>(Parsed);
+  cr_assert_geq(Errors.size(), 8, "every missing or wrong field is named");
+}
--- /dev/null
+++ b/tests/takeover_test.cpp
@@ -0,0 +1,104 @@
+// When a group needs another primary, and which instance holds every acknowledged commit.
+#include "takeover.h"
+
+#include <criterion/criterion.h>
+
+using namespace quetzalpaddle;
+
+namespace {
+
+constexpr TimePoint Start{std::chrono::hours(1)};
+const TakeoverSettings Settings;
+
+LineGroup makeGroup() {
+  LineGroup Group;
+  Group.m_Name = "g";
+  Group.m_SyncReplicas = 1;
+  for (const char *Id : {"p", "r1", "r2"}) {
+    Group.m_Instances[Id].m_Id = Id;
+    Group.m_Instances[Id].m_Group = "g";
+  }
+  Group.m_Primary = "p";
+  Group.m_PrimarySince = Start - Millis(5000);
+  return Group;
+}
+
+LineStatus received(uint64_t Index) { return {false, 1, {1, Index}}; }
+
+} // namespace
+
+Test(takeover, proof_keeps_the_primary) {
+  LineGroup Group = makeGroup();
+  addProof(Group.m_History, {{1, 1}, Start - Millis(100)}, Start);
+  cr_assert(assessPrimary(Group, {}, Start, Settings) == TakeoverNeed::None);
+}
+
+// A pause of 300 ms is no reason to promote.
+Test(takeover, short_silence_is_only_probed) {
+  LineGroup Group = makeGroup();
+  addProof(Group.m_History, {{1, 1}, Start - Millis(900)}, Start);
+  Takeover State;
+  cr_assert(assessPrimary(Group, State, Start, Settings) == TakeoverNeed::Probe);
+  State.m_MissingSince = Start - Millis(300);
+  cr_assert(assessPrimary(Group, State, Start, Settings) == TakeoverNeed::Probe);
+}
+
+Test(takeover, lasting_silence_forces) {
+  LineGroup Group = makeGroup();
+  Takeover State;
+  State.m_MissingSince = Start - Settings.m_ConfirmFor;
+  cr_assert(assessPrimary(Group, State, Start, Settings) == TakeoverNeed::Force);
+}
+
+// The pattern: this host is cut off from the primary, and the others are not.
+Test(takeover, proof_of_another_host_counts) {
+  LineGroup Group = makeGroup();
+  addProof(Group.m_History, {{1, 1}, Start - Millis(200)}, Start);
+  Takeover State;
+  State.m_MissingSince = Start - Millis(2000);
+  cr_assert(assessPrimary(Group, State, Start, Settings) == TakeoverNeed::None);
+}
+
+Test(takeover, leaving_primary_is_replaced) {
+  LineGroup Group = makeGroup();
+  Group.m_Instances["p"].m_Leaving = true;
+  addProof(Group.m_History, {{1, 1}, Start}, Start);
+  cr_assert(assessPrimary(Group, {}, Start, Settings) == TakeoverNeed::Replace);
+}
+
+// The pattern: one replica received nothing for a while, then the primary crashes.
+Test(takeover, longest_log_succeeds) {
+  LineGroup Group = makeGroup();
+  TakeoverBallot Ballot;
+  Ballot.m_Replicas = {{"r1", received(5)}, {"r2", received(50)}};
+  cr_assert_eq(chooseSuccessor(Group, Ballot), "r2");
+}
+
+// An acknowledged commit may rest on the replica that does not answer.
+Test(takeover, missing_replica_stops_the_promotion) {
+  LineGroup Group = makeGroup();
+  TakeoverBallot Ballot;
+  Ballot.m_Replicas = {{"r1", received(5)}};
+  Ballot.m_Missing = {"r2"};
+  cr_assert_eq(chooseSuccessor(Group, Ballot), "");
+}
+
+// Commits acknowledged after a replica had left rest on the other one.
+Test(takeover, replica_that_left_long_ago_is_not_missed) {
+  LineGroup Group = makeGroup();
+  Group.m_Instances["r2"].m_Listed = false;
+  Group.m_Instances["r2"].m_UnlistedSince = Start - Millis(3000);
+  addProof(Group.m_History, {{1, 40}, Start - Millis(1000)}, Start);
+  TakeoverBallot Ballot;
+  Ballot.m_Missing = {"r2"};
+  Ballot.m_Replicas = {{"r1", received(39)}};
+  cr_assert_eq(chooseSuccessor(Group, Ballot), "", "has not caught up with what was proved since");
+  Ballot.m_Replicas = {{"r1", received(40)}};
+  cr_assert_eq(chooseSuccessor(Group, Ballot), "r1");
+}
+
+Test(takeover, heir_stays_in_service) {
+  LineGroup Group = makeGroup();
+  Group.m_Instances["r2"].m_Leaving = true;
+  cr_assert_eq(chooseHeir(Group, {{"r1", received(5)}, {"r2", received(9)}}), "r1");
+}
--- a/tests/usage_test.cpp
+++ b/tests/usage_test.cpp
@@ -110,7 +110,7 @@
   for (auto Last = AdmittedAt.begin(); Last != AdmittedAt.end(); ++Last) {
     while (*Last - *First > 5)
       ++First;
-    Result.m_MostInWindow = std::max<double>(Result.m_MostInWindow, Last - First + 1);
+    Result.m_MostInWindow = std::max(Result.m_MostInWindow, static_cast<double>(Last - First) + 1);
   }
   Result.m_Allowed = (L.m_Rate * 5 + L.m_Burst) * 1.1 + 20;
   fmt::print("rate {}: most {} of {}, refused {} of {}\n", L.m_Rate, Result.m_MostInWindow,
