Choose hubs among many hosts: dispatchers and exchange of news

Change: above 20 hosts the strongest two or more of each data centre are hubs. They dispatch to the instances, exchange news with each other and serve their leaves, which report to one of them only. Hubs add up what their leaves admitted.

--- a/src/line_gossip.cpp
+++ b/src/line_gossip.cpp
@@ -24,6 +24,12 @@
 constexpr size_t MaxDatagramBytes = 65536;
 // Hosts named in each datagram, so that every host hears of every other one.
 constexpr size_t KnownPerDatagram = 3;
+// A report that an instance cannot be reached is passed on for so long.
+constexpr Millis ReportLapse{1000};
+// Customers without a request for this long are left out of reports.
+constexpr Millis QuietCustomer{3000};
+// A leaf that has not reported for this long has another home.
+constexpr Millis LeafLapse{1500};
 // A host is asked for a newer configuration at most this often.
 constexpr Millis AskInterval{250};
 // The own watch of the store gets this long before another host is asked.
@@ -55,15 +61,21 @@
   }
 }
 
-void fillInstances(LineHost &Host, line::Gossip &Message) {
-  for (const auto &[Id, D] : Host.m_Dispatches) {
+// Instances that this host dispatches to; for a leaf, all of them.
+void fillInstances(LineHost &Host, line::Gossip &Message, bool All, TimePoint Now) {
+  for (const auto &[Id, GroupName] : Host.m_GroupOf) {
+    auto Own = Host.m_Dispatches.find(Id);
     const LineInstance *I = findInstance(Host, Id);
-    if (!I)
+    if (!I || !I->m_Listed || (Own == Host.m_Dispatches.end() && !All))
       continue;
+    Duration Wait = Own == Host.m_Dispatches.end() ? I->m_Wait : expectedWait(Own->second);
+    bool Unreachable = Own == Host.m_Dispatches.end()
+                           ? I->m_Unreachable && Now - I->m_UnreachableAt < ReportLapse
+                           : Own->second.m_Unreachable;
     line::InstanceNews &News = *Message.add_instances();
     News.set_instance(Id);
-    News.set_wait_us(static_cast<uint32_t>(duration_cast<microseconds>(expectedWait(D)).count()));
-    News.set_unreachable(D.m_Unreachable);
+    News.set_wait_us(static_cast<uint32_t>(duration_cast<microseconds>(Wait).count()));
+    News.set_unreachable(Unreachable);
     News.mutable_applied()->set_term(I->m_Applied.m_Term);
     News.mutable_applied()->set_index(I->m_Applied.m_Index);
   }
@@ -73,6 +85,7 @@
   Info.set_id(Host.m_Id);
   Info.set_data_centre(Host.m_DataCentre);
   Info.set_address(Host.m_Address);
+  Info.set_weight(static_cast<float>(Host.m_Weight));
 }
 
 void learnHost(LineHost &Host, const line::HostInfo &Info) {
@@ -85,6 +98,9 @@
   View.m_Id = Info.id();
   View.m_DataCentre = Info.data_centre();
   View.m_Address = Info.address();
+  View.m_Weight = Info.weight();
+  if (Info.heard_age_ms() > 0)
+    View.m_HeardAt = std::max(View.m_HeardAt, bootNow() - Millis(Info.heard_age_ms() - 1));
 }
 
 void takeGroupNews(LineHost &Host, const line::GroupNews &News, const line::Gossip &Message,
@@ -147,9 +163,13 @@
     takeGroupNews(Host, News, Message, Now);
   for (const line::InstanceNews &News : Message.instances())
     takeInstanceNews(Host, News, Now);
+  if (Message.from_leaf())
+    Peer.m_LeafAt = Now;
+  if (Message.to_leaf())
+    keepOnlyRemote(Host.m_Usage, From);
   for (const line::CustomerUse &Use : Message.uses())
     noteRemoteUse(Host.m_Usage, Use.customer(), From,
-                  {Message.incarnation(), Use.admitted(), Use.offered()}, Now);
+                  {Message.incarnation(), Use.admitted(), Use.offered()}, Message.from_leaf(), Now);
   bool Newer = Peer.m_ConfigVersion > (Host.m_Config ? Host.m_Config->m_Version : 0) ||
                (Peer.m_InstancesRevision > Host.m_Store.m_InstancesRevision &&
                 Now - Host.m_Store.m_InstancesAt > WatchHeadStart);
@@ -171,55 +191,87 @@
   return Udp::endpoint(Endpoint->address(), Endpoint->port());
 }
 
-} // namespace
+// --- Sending ---
 
-Awaitable<void> receiveGossip(LineHost &Host) {
-  std::string Buffer(MaxDatagramBytes, '\0');
-  for (;;) {
-    Udp::endpoint From;
-    auto [Error, Size] =
-        co_await Host.m_Datagrams->async_receive_from(asio::buffer(Buffer), From, AsTuple);
-    line::Gossip Message;
-    if (!Error && Message.ParseFromArray(Buffer.data(), static_cast<int>(Size)))
-      takeGossip(Host, Message);
-  }
+void addUse(line::Gossip &Message, const std::string &Customer, const UseReport &Report) {
+  line::CustomerUse &Told = *Message.add_uses();
+  Told.set_customer(Customer);
+  Told.set_admitted(Report.m_Admitted);
+  Told.set_offered(static_cast<float>(Report.m_Offered));
 }
 
-void sendGossip(LineHost &Host, TimePoint Now) {
+void sendMessage(LineHost &Host, const std::string &Id, line::Gossip &Message, TimePoint Now) {
+  const HostView &View = Host.m_Members.m_Hosts[Id];
+  auto Peer = Host.m_Gossips.find(Id);
+  bool Heard = Peer != Host.m_Gossips.end();
+  Message.set_echo_us(Heard ? Peer->second.m_SentUs : 0);
+  Message.set_echo_held_us(Heard ? duration_cast<microseconds>(Now - Peer->second.m_HeardAt).count()
+                                 : 0);
+  if (auto To = datagramEndpoint(View.m_Address))
+    sendTo(Host, *To, Message.SerializeAsString());
+}
+
+line::Gossip makeMessage(LineHost &Host, TimePoint Now) {
   line::Gossip Message;
-  const HostView &Self = Host.m_Members.m_Hosts[Host.m_Members.m_Self];
-  fillInfo(*Message.mutable_host(), Self);
+  auto &Hosts = Host.m_Members.m_Hosts;
+  fillInfo(*Message.mutable_host(), Hosts[Host.m_Members.m_Self]);
   Message.set_incarnation(Host.m_Incarnation);
   Message.set_draining(Host.m_Draining);
   Message.set_sent_us(toMicros(Now));
   Message.set_config_version(Host.m_Config ? Host.m_Config->m_Version : 0);
   Message.set_instances_revision(Host.m_Store.m_InstancesRevision);
   fillGroups(Host, Message, Now);
-  fillInstances(Host, Message);
-  for (const auto &[Name, Use] : Host.m_Usage.m_Customers) {
-    line::CustomerUse &Told = *Message.add_uses();
-    Told.set_customer(Name);
-    Told.set_admitted(static_cast<float>(Use.m_Admitted));
-    Told.set_offered(static_cast<float>(offeredRate(Use, Now)));
-  }
-  auto &Hosts = Host.m_Members.m_Hosts;
   for (size_t I = 0; I < std::min(KnownPerDatagram, Hosts.size()); ++I)
     fillInfo(*Message.add_known(),
              std::next(Hosts.begin(), static_cast<long>(Host.m_Random() % Hosts.size()))->second);
-  for (const auto &[Id, View] : Hosts) {
-    if (Id == Host.m_Members.m_Self)
+  return Message;
+}
+
+void sendToHubs(LineHost &Host, line::Gossip Message, TimePoint Now) {
+  fillInstances(Host, Message, false, Now);
+  for (const auto &[Name, Use] : Host.m_Usage.m_Customers)
+    addUse(Message, Name, reportOwn(Use, Now));
+  for (const std::string &Id : Host.m_HubIds)
+    if (Id != Host.m_Members.m_Self)
+      sendMessage(Host, Id, Message, Now);
+}
+
+// News of the whole fleet for the hosts that report to this one.
+void sendToLeaves(LineHost &Host, line::Gossip Message, TimePoint Now) {
+  Message.set_to_leaf(true);
+  fillInstances(Host, Message, true, Now);
+  for (const std::string &Id : Host.m_HubIds) {
+    const HostView &View = Host.m_Members.m_Hosts[Id];
+    line::HostInfo &Info = *Message.add_known();
+    fillInfo(Info, View);
+    bool Heard = View.m_HeardAt != TimePoint{} && Id != Host.m_Members.m_Self;
+    Info.set_heard_age_ms(
+        Heard ? static_cast<uint32_t>(duration_cast<Millis>(Now - View.m_HeardAt).count()) + 1 : 0);
+  }
+  for (const auto &[Id, Peer] : Host.m_Gossips) {
+    if (Now - Peer.m_LeafAt > LeafLapse || !Host.m_Members.m_Hosts.contains(Id))
       continue;
-    auto Peer = Host.m_Gossips.find(Id);
-    bool Heard = Peer != Host.m_Gossips.end();
-    Message.set_echo_us(Heard ? Peer->second.m_SentUs : 0);
-    Message.set_echo_held_us(
-        Heard ? duration_cast<microseconds>(Now - Peer->second.m_HeardAt).count() : 0);
-    if (auto To = datagramEndpoint(View.m_Address))
-      sendTo(Host, *To, Message.SerializeAsString());
+    Message.clear_uses();
+    for (const auto &[Name, Use] : Host.m_Usage.m_Customers)
+      addUse(Message, Name, reportFleet(Use, Id, Now));
+    sendMessage(Host, Id, Message, Now);
   }
-  if (Hosts.size() > 1)
-    return;
-  Message.clear_echo_us();
+}
+
+void sendToHome(LineHost &Host, line::Gossip Message, TimePoint Now) {
+  Message.set_from_leaf(true);
+  for (const auto &[Name, Use] : Host.m_Usage.m_Customers)
+    if (Now - Use.m_OfferedAt < QuietCustomer)
+      addUse(Message, Name, {Host.m_Incarnation, Use.m_Admitted, offeredRate(Use, Now)});
+  if (!Host.m_Home.empty())
+    sendMessage(Host, Host.m_Home, Message, Now);
+  else
+    for (const std::string &Id : Host.m_HubIds)
+      sendMessage(Host, Id, Message, Now);
+}
+
+// Until the store or another host has told of the fleet.
+void sendToSeeds(LineHost &Host, const line::Gossip &Message) {
   for (const std::string &Seed : Host.m_Settings.m_Seeds) {
     std::string Ip = Seed.substr(0, Seed.find(':'));
     if (auto To = datagramEndpoint(Ip + ":" + std::to_string(Host.m_Settings.m_PeerPort)))
@@ -227,4 +279,30 @@
   }
 }
 
+} // namespace
+
+Awaitable<void> receiveGossip(LineHost &Host) {
+  std::string Buffer(MaxDatagramBytes, '\0');
+  for (;;) {
+    Udp::endpoint From;
+    auto [Error, Size] =
+        co_await Host.m_Datagrams->async_receive_from(asio::buffer(Buffer), From, AsTuple);
+    line::Gossip Message;
+    if (!Error && Message.ParseFromArray(Buffer.data(), static_cast<int>(Size)))
+      takeGossip(Host, Message);
+  }
+}
+
+void sendGossip(LineHost &Host, TimePoint Now) {
+  line::Gossip Message = makeMessage(Host, Now);
+  if (Host.m_Members.m_Hosts.size() == 1) {
+    sendToSeeds(Host, Message);
+  } else if (Host.m_IsHub) {
+    sendToHubs(Host, Message, Now);
+    sendToLeaves(Host, Message, Now);
+  } else {
+    sendToHome(Host, Message, Now);
+  }
+}
+
 } // namespace quetzalpaddle
--- a/src/line_host.h
+++ b/src/line_host.h
@@ -50,6 +50,7 @@
   Millis m_ConfigLimit{3000};       // until a configuration is in force
   Millis m_RateWindow{5000};        // over which rates are judged
   double m_RateTolerance = 0;       // part of a rate by which the fleet may exceed it
+  double m_Cores = 1;               // part of a core that the host has
   uint32_t m_MemoryMb = 0;          // limit of the process
 };
 
@@ -125,6 +126,7 @@
 
 // What gossip needs to know of another host beyond HostView.
 struct PeerGossip {
+  TimePoint m_LeafAt{};  // when it last reported as a leaf of this host
   uint64_t m_SentUs = 0; // its clock, of its last datagram
   TimePoint m_HeardAt{}; // when that arrived
   uint64_t m_ConfigVersion = 0;
@@ -168,6 +170,9 @@
 
   Membership m_Members;
   MembershipSettings m_MembershipSettings;
+  std::set<std::string> m_HubIds; // chosen from m_Members
+  bool m_IsHub = false;
+  std::string m_Home;                          // the hub this host talks to; empty if it is one
   std::map<std::string, PeerLink> m_Links;     // by host
   std::map<std::string, PeerGossip> m_Gossips; // by host
   std::shared_ptr<Udp::socket> m_Datagrams;
--- a/src/line_peer.cpp
+++ b/src/line_peer.cpp
@@ -53,6 +53,19 @@
     Found->second.m_FailedAt = bootNow();
 }
 
+// The hubs as a fleet of their own: dispatchers are chosen among them.
+Membership listHubs(const LineHost &Host) {
+  Membership Hubs;
+  Hubs.m_Self = Host.m_Members.m_Self;
+  Hubs.m_DataCentre = Host.m_Members.m_DataCentre;
+  for (const std::string &Id : Host.m_HubIds) {
+    auto Found = Host.m_Members.m_Hosts.find(Id);
+    if (Found != Host.m_Members.m_Hosts.end())
+      Hubs.m_Hosts.insert(*Found);
+  }
+  return Hubs;
+}
+
 // --- The side that accepts links ---
 
 Awaitable<void> answerRun(LineHost &Host, std::shared_ptr<FrameConnection> Frames, uint64_t Link,
@@ -229,7 +242,7 @@
       Named.m_Id = Target->m_Id;
       Named.m_DataCentre = Target->m_DataCentre;
       Dispatcher =
-          chooseDispatcher(Host.m_Members, Named, Skipped, bootNow(), Host.m_MembershipSettings);
+          chooseDispatcher(listHubs(Host), Named, Skipped, bootNow(), Host.m_MembershipSettings);
       if (Dispatcher.empty())
         co_return Reply;
     }
--- a/src/line_serve.cpp
+++ b/src/line_serve.cpp
@@ -23,10 +23,11 @@
 
 // Deadlines, queues and links are looked at this often.
 constexpr Millis TickInterval{20};
-// Datagrams to all other hosts: a fleet of up to this many hosts exchanges every GossipInterval,
-// a larger one more seldom, so that a host's share of the traffic stays the same.
+constexpr Millis IdleTickInterval{50}; // while nothing is queued or in progress
+// Datagrams to the hubs, or from them to their leaves.
 constexpr Millis GossipInterval{200};
-constexpr size_t GossipFleet = 20;
+// Hubs are chosen anew this often.
+constexpr Millis HubInterval{100};
 // The load balancer takes a host out after two failed probes, a second apart.
 constexpr Millis DrainNotice{2200};
 // Before the process is killed at the stop limit.
@@ -106,6 +107,7 @@
   Reader.read("rate_tolerance", S.m_RateTolerance);
   if (S.m_RateTolerance < 0 || S.m_RateTolerance > 1)
     Reader.m_Errors.emplace_back("rate_tolerance: has to be from 0 to 1");
+  Reader.read("cores", S.m_Cores);
   Reader.read("memory_mb", S.m_MemoryMb);
   if (!Reader.m_Errors.empty())
     return Reader.m_Errors;
@@ -174,21 +176,41 @@
          bootNow() - StartedAt > StartGrace;
 }
 
-Millis gossipInterval(const LineHost &Host) {
-  size_t Hosts = Host.m_Members.m_Hosts.size();
-  return GossipInterval * std::max<size_t>(1, Hosts / GossipFleet);
+void refreshHubs(LineHost &Host, TimePoint Now) {
+  std::map<std::string, size_t> Instances;
+  for (const auto &[Name, Group] : Host.m_Groups)
+    for (const auto &[Id, I] : Group.m_Instances)
+      Instances[I.m_DataCentre] += I.m_Listed ? 1 : 0;
+  Host.m_HubIds = chooseHubs(Host.m_Members, Instances, Now, Host.m_MembershipSettings);
+  bool Hub = Host.m_HubIds.contains(Host.m_Members.m_Self);
+  if (std::exchange(Host.m_IsHub, Hub) != Hub)
+    logLine(LogLevel::Info, "hub_duty", {{"hub", Hub ? "yes" : "no"}});
+  Host.m_Home = Hub ? std::string()
+                    : chooseHome(Host.m_Members, Host.m_HubIds, Now, Host.m_MembershipSettings);
+}
+
+// Work that needs to be looked at soon.
+bool hasQueues(const LineHost &Host) {
+  return std::ranges::any_of(Host.m_Dispatches, [](const auto &Entry) {
+    return Entry.second.m_Queue.m_Queued > 0 || !Entry.second.m_Running.empty();
+  });
 }
 
 Awaitable<void> runTicks(LineHost &Host) {
   asio::steady_timer Timer(Host.m_Io);
   TimePoint GossipedAt{};
+  TimePoint HubsAt{};
   for (;;) {
-    Timer.expires_after(TickInterval);
+    Timer.expires_after(hasQueues(Host) ? TickInterval : IdleTickInterval);
     co_await Timer.async_wait(AsTuple);
     TimePoint Now = bootNow();
     runDeadlines(Host.m_Watchdog, Now);
     tickDispatches(Host, Now);
-    if (Now - GossipedAt >= gossipInterval(Host)) {
+    if (Now - HubsAt >= HubInterval) {
+      HubsAt = Now;
+      refreshHubs(Host, Now);
+    }
+    if (Now - GossipedAt >= GossipInterval) {
       GossipedAt = Now;
       closeSilentLinks(Host, Now);
       sendGossip(Host, Now);
@@ -246,6 +268,7 @@
   Self.m_DataCentre = Host.m_Settings.m_DataCentre;
   Self.m_Address = fmt::format("{}:{}", Host.m_Settings.m_PeerAddress, Host.m_Settings.m_PeerPort);
   Self.m_Incarnation = Host.m_Incarnation;
+  Self.m_Weight = Host.m_Settings.m_Cores;
 }
 
 } // namespace
--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -20,6 +20,7 @@
 
 // How often the groups are looked at.
 constexpr Millis LookInterval{100};
+constexpr Millis LeafLookInterval{500}; // at hosts that are no hubs: only whether they became one
 // Polls while a promotion is awaited.
 constexpr Millis PollInterval{120};
 // The duty is taken over beforehand once this host has been first in order for so long.
@@ -324,9 +325,13 @@
 }
 
 bool isFirst(const LineHost &Host, const std::string &Group, TimePoint Now) {
+  if (!Host.m_IsHub)
+    return false;
   auto Order =
       orderHosts(Host.m_Members, "promote/" + Group, "", true, Now, Host.m_MembershipSettings);
-  return !Order.empty() && Order.front() == Host.m_Members.m_Self;
+  auto First = std::ranges::find_if(
+      Order, [&](const std::string &Id) { return Host.m_HubIds.contains(Id); });
+  return First != Order.end() && *First == Host.m_Members.m_Self;
 }
 
 } // namespace
@@ -334,7 +339,8 @@
 Awaitable<void> watchPrimaries(LineHost &Host) {
   std::map<std::string, TimePoint> FirstSince;
   for (;;) {
-    co_await sleepFor(Host.m_Io, LookInterval);
+    Duration Pause = Host.m_IsHub ? LookInterval : LeafLookInterval;
+    co_await sleepFor(Host.m_Io, Pause);
     TimePoint Now = bootNow();
     for (auto &[Name, Group] : Host.m_Groups) {
       if (Group.m_Instances.empty())
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -18,6 +18,7 @@
 }
 
 constexpr std::string_view RelayName = "relay/";
+constexpr std::string_view HubName = "hub";
 
 // The first hosts in rendezvous order for the relay role of one data centre.
 std::vector<std::string> listRelays(const Membership &M, const std::string &DataCentre,
@@ -134,6 +135,59 @@
   return std::ranges::find(Relays, M.m_Self) != Relays.end();
 }
 
+std::set<std::string> chooseHubs(const Membership &M,
+                                 const std::map<std::string, size_t> &Instances, TimePoint Now,
+                                 const MembershipSettings &Settings) {
+  std::set<std::string> Hubs;
+  if (M.m_Hosts.size() <= Settings.m_FullMesh) {
+    for (const auto &[Id, View] : M.m_Hosts)
+      Hubs.insert(Id);
+    return Hubs;
+  }
+  struct Candidate {
+    double m_Weight = 0;
+    uint64_t m_Score = 0;
+    const std::string *m_Id = nullptr;
+  };
+  std::map<std::string, std::vector<Candidate>> ByDataCentre;
+  for (const auto &[Id, View] : M.m_Hosts)
+    if (isUsable(M, View, Now, Settings))
+      ByDataCentre[View.m_DataCentre].push_back({View.m_Weight, scoreHost(Id, HubName), &Id});
+  for (auto &[DataCentre, Candidates] : ByDataCentre) {
+    auto Served = Instances.find(DataCentre);
+    size_t Count = Served == Instances.end() ? 0 : Served->second;
+    size_t Wanted =
+        std::max<size_t>(Settings.m_HubsPerDataCentre,
+                         (Count + Settings.m_InstancesPerHub - 1) / Settings.m_InstancesPerHub);
+    Wanted = std::min(Wanted, Candidates.size());
+    std::ranges::partial_sort(Candidates, Candidates.begin() + static_cast<long>(Wanted),
+                              [](const Candidate &A, const Candidate &B) {
+                                return std::tie(A.m_Weight, A.m_Score) >
+                                       std::tie(B.m_Weight, B.m_Score);
+                              });
+    for (size_t I = 0; I < Wanted; ++I)
+      Hubs.insert(*Candidates[I].m_Id);
+  }
+  return Hubs;
+}
+
+std::string chooseHome(const Membership &M, const std::set<std::string> &Hubs, TimePoint Now,
+                       const MembershipSettings &Settings) {
+  std::string Best;
+  std::tuple<bool, uint64_t> BestRank;
+  for (const std::string &Id : Hubs) {
+    auto Found = M.m_Hosts.find(Id);
+    if (Found == M.m_Hosts.end() || !isUsable(M, Found->second, Now, Settings))
+      continue;
+    std::tuple Rank{Found->second.m_DataCentre == M.m_DataCentre, scoreHost(Id, M.m_Self)};
+    if (Best.empty() || Rank > BestRank) {
+      Best = Id;
+      BestRank = Rank;
+    }
+  }
+  return Best;
+}
+
 std::vector<std::string> chooseNeighbours(const Membership &M, TimePoint Now,
                                           const MembershipSettings &Settings) {
   // Usability is not asked for the near hosts: an exchange is how a host that was skipped is found
--- a/src/quetzalpaddle.h
+++ b/src/quetzalpaddle.h
@@ -556,6 +556,7 @@
   uint64_t m_ConfigRevision = 0;
   TimePoint m_HeardAt{};  // last exchange
   TimePoint m_FailedAt{}; // last failed call
+  double m_Weight = 1;    // part of a core that the host has
 };
 
 struct MembershipSettings {
@@ -563,6 +564,9 @@
   Millis m_AvoidAfterFailure{500};
   uint32_t m_RelaysPerDataCentre = 2;
   uint32_t m_Neighbours = 8; // hosts that each host exchanges reports with
+  uint32_t m_FullMesh = 20;  // up to this many hosts, all are hubs
+  uint32_t m_HubsPerDataCentre = 2;
+  uint32_t m_InstancesPerHub = 4; // more hubs where a data centre has many instances
 };
 
 struct Membership {
@@ -592,6 +596,16 @@
 // Whether this host is one of the relays of its data centre, which watch the platform.
 bool isRelay(const Membership &M, TimePoint Now, const MembershipSettings &Settings);
 
+// The hosts that dispatch to instances and exchange news with each other; the others talk to one of
+// them. In each data centre the strongest usable ones. Instances: number in each data centre.
+std::set<std::string> chooseHubs(const Membership &M,
+                                 const std::map<std::string, size_t> &Instances, TimePoint Now,
+                                 const MembershipSettings &Settings);
+
+// The hub that a host without hub duties talks to: one of its own data centre if any is usable.
+std::string chooseHome(const Membership &M, const std::set<std::string> &Hubs, TimePoint Now,
+                       const MembershipSettings &Settings);
+
 // The hosts to exchange reports with: relays of all data centres and hosts near in rendezvous
 // order.
 std::vector<std::string> chooseNeighbours(const Membership &M, TimePoint Now,
--- a/src/usage.cpp
+++ b/src/usage.cpp
@@ -103,7 +103,7 @@
 }
 
 void noteRemoteUse(UsageState &State, const std::string &Customer, const std::string &Host,
-                   const UseReport &Report, TimePoint Now) {
+                   const UseReport &Report, bool Leaf, TimePoint Now) {
   auto Found = State.m_Customers.find(Customer);
   if (Found == State.m_Customers.end())
     return;
@@ -113,15 +113,45 @@
   auto [Entry, New] = C.m_Remote.try_emplace(Host);
   RemoteUse &R = Entry->second;
   if (New || R.m_Last.m_Incarnation != Report.m_Incarnation) {
-    R = {Report, Now, 0, 0};
+    R = {Report, Now, 0, 0, Leaf};
     return;
   }
   double Used = Report.m_Admitted - R.m_Last.m_Admitted;
   if (Used < 0 || Now <= R.m_At)
     return; // datagrams may overtake each other
   C.m_Level = std::min(C.m_Burst, C.m_Level + R.m_Anticipated - Used);
+  C.m_Heard += Used;
+  if (Leaf)
+    C.m_OfLeaves += Used;
   double PerSecond = Used / std::max(seconds(Now - R.m_At), 0.01);
-  R = {Report, Now, R.m_PerSecond + (PerSecond - R.m_PerSecond) * RateWeight, 0};
+  R = {Report, Now, R.m_PerSecond + (PerSecond - R.m_PerSecond) * RateWeight, 0, Leaf};
+}
+
+UseReport reportOwn(const CustomerUsage &C, TimePoint Now) {
+  UseReport Report;
+  Report.m_Admitted = C.m_Admitted + C.m_OfLeaves;
+  Report.m_Offered = offeredRate(C, Now);
+  for (const auto &[Host, R] : C.m_Remote)
+    if (R.m_Leaf)
+      Report.m_Offered += R.m_Last.m_Offered;
+  return Report;
+}
+
+UseReport reportFleet(const CustomerUsage &C, const std::string &Leaf, TimePoint Now) {
+  UseReport Report;
+  Report.m_Admitted = C.m_Admitted + C.m_Heard;
+  Report.m_Offered = offeredRate(C, Now) + remoteDemand(C);
+  auto Own = C.m_Remote.find(Leaf);
+  if (Own != C.m_Remote.end()) {
+    Report.m_Admitted -= Own->second.m_Last.m_Admitted;
+    Report.m_Offered -= Own->second.m_Last.m_Offered;
+  }
+  return Report;
+}
+
+void keepOnlyRemote(UsageState &State, const std::string &Host) {
+  for (auto &[Name, C] : State.m_Customers)
+    std::erase_if(C.m_Remote, [&](const auto &R) { return R.first != Host; });
 }
 
 bool admitUse(UsageState &State, const std::string &Customer, TimePoint Now) {
--- a/src/usage.h
+++ b/src/usage.h
@@ -23,6 +23,7 @@
   TimePoint m_At{};         // of the report
   double m_PerSecond = 0;   // smoothed, to bridge the time to the next report
   double m_Anticipated = 0; // already charged beyond the report
+  bool m_Leaf = false;      // it reports to this host only, which passes its use on
 };
 
 struct CustomerUsage {
@@ -31,6 +32,8 @@
   double m_Level = 0; // tokens left for all hosts, by what this host knows
   TimePoint m_Filled{};
   double m_Admitted = 0; // by this host
+  double m_Heard = 0;    // by all other hosts, as far as reported since this process started
+  double m_OfLeaves = 0; // part of m_Heard that only this host passes on
   double m_Offered = 0;  // smoothed requests per second that arrive at this host
   TimePoint m_OfferedAt{};
   double m_Share = 0; // tokens this host may use while the fleet's level is low
@@ -50,7 +53,16 @@
 
 // Takes over another host's report.
 void noteRemoteUse(UsageState &State, const std::string &Customer, const std::string &Host,
-                   const UseReport &Report, TimePoint Now);
+                   const UseReport &Report, bool Leaf, TimePoint Now);
+
+// What this host tells other hubs: its own use and that of the hosts that report only to it.
+UseReport reportOwn(const CustomerUsage &C, TimePoint Now);
+
+// What it tells one of those hosts: the use of all others.
+UseReport reportFleet(const CustomerUsage &C, const std::string &Leaf, TimePoint Now);
+
+// Forgets all other hosts' reports but those of one, when it reports for the whole fleet.
+void keepOnlyRemote(UsageState &State, const std::string &Host);
 
 // Requests per second that arrive at this host, smoothed.
 double offeredRate(const CustomerUsage &C, TimePoint Now);
--- a/testing/line_demo.py
+++ b/testing/line_demo.py
@@ -64,7 +64,7 @@
                     "store": f"127.0.0.1:{system.store_port}",
                     "promotions": f"127.0.0.1:{system.store_port}", "stop_limit_s": 4,
                     "leaving_limit_ms": 7000, "config_limit_ms": 3000, "rate_window_s": 5,
-                    "rate_tolerance": 0.1,
+                    "rate_tolerance": 0.1, "cores": 1,
                     "memory_mb": 182}
         self.file = tempfile.NamedTemporaryFile("w", suffix=".json")
         json.dump(settings, self.file)
--- a/tests/usage_test.cpp
+++ b/tests/usage_test.cpp
@@ -79,7 +79,7 @@
       Report R = OnTheWay.top();
       OnTheWay.pop();
       noteRemoteUse(Fleet[R.m_To], "c", fmt::format("h{}", R.m_From),
-                    {R.m_Incarnation, R.m_Admitted, R.m_Offered}, Now);
+                    {R.m_Incarnation, R.m_Admitted, R.m_Offered}, false, Now);
     }
     Bucket = std::min(L.m_Burst, Bucket + L.m_Rate / 1000);
     std::poisson_distribution<int> Arrivals(L.m_Demand(Second) / 1000);
