Let a few hosts watch the store and pass on what they hear

Change: relays (two of each data centre, the hubs of a large fleet) watch, in waits of 4 s; the others take configuration and instances from them and watch only while nobody they hear of has had an answer in 7 s.

--- a/src/line_gossip.cpp
+++ b/src/line_gossip.cpp
@@ -32,6 +32,9 @@
 constexpr Millis LeafLapse{1500};
 // A host is asked for a newer configuration at most this often.
 constexpr Millis AskInterval{250};
+// Hosts of the own data centre get this long before one of another is asked: bytes between data
+// centres are dear.
+constexpr Millis NearHeadStart{350};
 // The own watch of the store gets this long before another host is asked.
 constexpr Millis WatchHeadStart{400};
 
@@ -170,10 +173,17 @@
   for (const line::CustomerUse &Use : Message.uses())
     noteRemoteUse(Host.m_Usage, Use.customer(), From,
                   {Message.incarnation(), Use.admitted(), Use.offered()}, Message.from_leaf(), Now);
+  if (Message.store_age_ms() > 0)
+    Peer.m_StoreAt = Now - Millis(Message.store_age_ms() - 1);
   bool Newer = Peer.m_ConfigVersion > (Host.m_Config ? Host.m_Config->m_Version : 0) ||
                (Peer.m_InstancesRevision > Host.m_Store.m_InstancesRevision &&
                 Now - Host.m_Store.m_InstancesAt > WatchHeadStart);
-  if (Newer && Now - Host.m_Store.m_AskedPeerAt > AskInterval) {
+  if (Newer && Host.m_Store.m_NewerSince == TimePoint{})
+    Host.m_Store.m_NewerSince = Now;
+  bool Near = View.m_DataCentre == Host.m_Settings.m_DataCentre;
+  bool Due = Near || Now - Host.m_Store.m_NewerSince > NearHeadStart;
+  if (Newer && Due && Now - Host.m_Store.m_AskedPeerAt > AskInterval) {
+    Host.m_Store.m_NewerSince = {};
     Host.m_Store.m_AskedPeerAt = Now;
     requestConfig(Host, From);
   }
@@ -220,6 +230,9 @@
   Message.set_sent_us(toMicros(Now));
   Message.set_config_version(Host.m_Config ? Host.m_Config->m_Version : 0);
   Message.set_instances_revision(Host.m_Store.m_InstancesRevision);
+  if (Host.m_Store.m_AnsweredAt != TimePoint{})
+    Message.set_store_age_ms(
+        static_cast<uint32_t>(duration_cast<Millis>(Now - Host.m_Store.m_AnsweredAt).count() + 1));
   fillGroups(Host, Message, Now);
   for (size_t I = 0; I < std::min(KnownPerDatagram, Hosts.size()); ++I)
     fillInfo(*Message.add_known(),
--- a/src/line_host.h
+++ b/src/line_host.h
@@ -126,6 +126,7 @@
 
 // What gossip needs to know of another host beyond HostView.
 struct PeerGossip {
+  TimePoint m_StoreAt{}; // when the store last answered it
   TimePoint m_LeafAt{};  // when it last reported as a leaf of this host
   uint64_t m_SentUs = 0; // its clock, of its last datagram
   TimePoint m_HeardAt{}; // when that arrived
@@ -142,6 +143,8 @@
   TimePoint m_ReachableSince{};
   uint64_t m_InstancesRevision = 0; // of the list in force
   TimePoint m_InstancesAt{};
+  TimePoint m_AnsweredAt{}; // last answer to a list or watch
+  TimePoint m_NewerSince{}; // some host has something newer since; zero if none
   std::map<std::string, std::string> m_InstancePayloads; // to pass on to other hosts
   bool m_Registered = false;
   TimePoint m_AskedPeerAt{};
--- a/src/line_sync.cpp
+++ b/src/line_sync.cpp
@@ -1,7 +1,8 @@
 // Configuration, instances and hosts from the platform's store.
 //
-// Each host watches the configuration and the list of instances; a host that the store turns away
-// gets both from the others (line_gossip.cpp asks for what is newer). Configurations carry a
+// A few hosts watch the configuration and the list of instances; the others get both from them
+// (line_gossip.cpp asks for what is newer), and watch themselves only while no host that they hear
+// of has had an answer of the store lately. Configurations carry a
 // version of their own and are never applied backwards. A list of instances replaces what was
 // known; entries may be missing from it just after the store was away, so that their removal is
 // delayed then.
@@ -17,8 +18,12 @@
 
 namespace {
 
-// Longest wait of a watch; the store allows 30 s.
-constexpr std::chrono::seconds WatchWait{25};
+// Longest wait of a watch. A store that falls silent shows only when it ends.
+constexpr std::chrono::seconds WatchWait{4};
+// An answer of the store to another host counts for so long: a watch and the way.
+constexpr Millis StoreFresh{7000};
+// Between looks at whether this host has to watch.
+constexpr Millis IdlePause{200};
 // Back-off after a failed call, with full jitter.
 constexpr Millis FirstPause{100};
 constexpr Millis MostPause{1000};
@@ -169,7 +174,11 @@
         removeInstance(Host, Id, "lapsed");
     });
   }
-  Host.m_Store.m_InstancesRevision = std::max(Host.m_Store.m_InstancesRevision, Changes.m_Revision);
+  // The store's revision rises with every change of any kind: only a change of an instance counts,
+  // or hosts would pass on the same list time and again.
+  if (!Changes.m_Objects.empty())
+    Host.m_Store.m_InstancesRevision =
+        std::max(Host.m_Store.m_InstancesRevision, Changes.m_Revision);
   Host.m_Store.m_InstancesAt = bootNow();
 }
 
@@ -186,13 +195,29 @@
   applyInstanceChanges(Host, List);
 }
 
+bool hasWatchDuty(const LineHost &Host) {
+  TimePoint Now = bootNow();
+  bool Relay = Host.m_Members.m_Hosts.size() > Host.m_MembershipSettings.m_FullMesh
+                   ? Host.m_IsHub
+                   : isRelay(Host.m_Members, Now, Host.m_MembershipSettings);
+  return Relay || std::ranges::none_of(Host.m_Gossips, [&](const auto &Entry) {
+           return Now - Entry.second.m_StoreAt < StoreFresh &&
+                  Now - Entry.second.m_HeardAt < Host.m_MembershipSettings.m_PassOverAfter;
+         });
+}
+
 // Lists a kind and follows its changes for as long as the store has them.
 Awaitable<void> followKind(LineHost &Host, std::string Kind,
                            std::function<void(StoreSnapshot)> TakeList,
                            std::function<void(const StoreSnapshot &)> TakeChanges) {
   Duration Pause{};
   uint64_t Revision = 0; // 0: to be listed
-  for (;;) {
+  for (bool First = true;; First = false) {
+    if (!First && Pause == Duration::zero() && !hasWatchDuty(Host)) {
+      Revision = 0;
+      co_await sleepFor(Host.m_Io, IdlePause);
+      continue;
+    }
     // g++ 12 miscompiles co_await in a conditional expression.
     platform::StoreResult<StoreSnapshot> Result = StoreFault::NoAnswer;
     if (Revision == 0)
@@ -209,6 +234,7 @@
       continue;
     }
     noteStore(Host, true, Kind, StoreFault::NoAnswer);
+    Host.m_Store.m_AnsweredAt = bootNow();
     Pause = Duration::zero();
     auto &Snapshot = std::get<StoreSnapshot>(Result);
     bool Listed = Revision == 0;
