Send no work to a primary that has been leaving for its time

Ruled out: the handover (1.3 s) and late news (all hosts knew within 100 ms). Change: of equal logs the instance that stays succeeds; a leaving primary gets work only for a part of the drain time, then hosts wait for the next handover. Tests: leaving_primary_gets_no_work_after_its_time, of_equal_logs_the_one_that_stays _succeeds (both fail without the change).

--- a/src/line_sync.cpp
+++ b/src/line_sync.cpp
@@ -22,6 +22,8 @@
 constexpr std::chrono::seconds WatchWait{4};
 // An answer of the store to another host counts for so long: a watch and the way.
 constexpr Millis StoreFresh{7000};
+// Of the time that a leaving primary gets work: for statements on their way.
+constexpr Millis LeavingMargin{3500};
 // Between looks at whether this host has to watch.
 constexpr Millis IdlePause{200};
 // Back-off after a failed call, with full jitter.
@@ -144,6 +146,9 @@
   I.m_Address = Next.m_Address;
   I.m_DataCentre = Next.m_DataCentre;
   I.m_Slots = Next.m_Slots;
+  // An instance that was leaving already when this host first saw it may have been so for long.
+  if (Next.m_Leaving && !I.m_Leaving)
+    I.m_WorkUntil = bootNow() + Host.m_Settings.m_LeavingLimit - LeavingMargin;
   I.m_Leaving = Next.m_Leaving;
   if (Changed)
     logLine(LogLevel::Info, "instance_listed",
--- a/src/positions.cpp
+++ b/src/positions.cpp
@@ -148,7 +148,10 @@
 
 bool hasPrimary(const LineGroup &Group, TimePoint Now) {
   bool Switching = Group.m_Switching != 0 && Now - Group.m_SwitchingAt < SwitchingLapse;
-  return !Group.m_Primary.empty() && !Switching && Group.m_Instances.contains(Group.m_Primary);
+  auto Found = Group.m_Instances.find(Group.m_Primary);
+  if (Switching || Found == Group.m_Instances.end())
+    return false;
+  return !Found->second.m_Leaving || Now < Found->second.m_WorkUntil;
 }
 
 } // namespace quetzalpaddle
--- a/src/positions.h
+++ b/src/positions.h
@@ -44,6 +44,7 @@
   std::string m_DataCentre;
   uint32_t m_Slots = 1;        // statements at a time
   bool m_Leaving = false;      // gets no new work
+  TimePoint m_WorkUntil{};     // if leaving: a primary still gets work until then
   bool m_SaysPrimary = false;  // how it sees itself
   bool m_Listed = true;        // in the platform's list
   TimePoint m_UnlistedSince{}; // if not listed
--- a/src/takeover.cpp
+++ b/src/takeover.cpp
@@ -24,9 +24,12 @@
 }
 
 std::string chooseSuccessor(const LineGroup &Group, const TakeoverBallot &Ballot) {
-  auto Longest = std::ranges::max_element(Ballot.m_Replicas, [](const auto &A, const auto &B) {
-    return A.second.m_Received < B.second.m_Received;
-  });
+  auto Rank = [&](const auto &Entry) {
+    auto Found = Group.m_Instances.find(Entry.first);
+    bool Stays = Found != Group.m_Instances.end() && !Found->second.m_Leaving;
+    return std::pair(Entry.second.m_Received, Stays);
+  };
+  auto Longest = std::ranges::max_element(Ballot.m_Replicas, {}, Rank);
   if (Longest == Ballot.m_Replicas.end())
     return {};
   // A commit is on m_SyncReplicas of the replicas at least: without one of them it is still on
--- a/tests/positions_test.cpp
+++ b/tests/positions_test.cpp
@@ -110,6 +110,17 @@
   cr_assert_eq(Group.m_Primary, "r1", "older news change nothing");
 }
 
+// The pattern: the only instance with the whole log is about to end. It may have to lead for a
+// moment, but gets no work.
+Test(positions, leaving_primary_gets_no_work_after_its_time) {
+  LineGroup Group = makeGroup();
+  cr_assert(hasPrimary(Group, Start));
+  Group.m_Instances["p"].m_Leaving = true;
+  Group.m_Instances["p"].m_WorkUntil = Start + Millis(5000);
+  cr_assert(hasPrimary(Group, Start + Millis(4999)));
+  cr_assert_not(hasPrimary(Group, Start + Millis(5000)));
+}
+
 Test(positions, refusal_makes_the_primary_unknown) {
   LineGroup Group = makeGroup();
   noteNotPrimary(Group, "p", Start);
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -74,6 +74,14 @@
   cr_assert_eq(chooseSuccessor(Group, Ballot), "r2");
 }
 
+Test(takeover, of_equal_logs_the_one_that_stays_succeeds) {
+  LineGroup Group = makeGroup();
+  Group.m_Instances["r2"].m_Leaving = true;
+  TakeoverBallot Ballot;
+  Ballot.m_Replicas = {{"r1", received(50)}, {"r2", received(50)}};
+  cr_assert_eq(chooseSuccessor(Group, Ballot), "r1");
+}
+
 // An acknowledged commit may rest on the replica that does not answer.
 Test(takeover, missing_replica_stops_the_promotion) {
   LineGroup Group = makeGroup();
