--- a/src/line_config.h
+++ b/src/line_config.h
@@ -85,7 +85,8 @@
 struct PromotionDuty {
   std::string m_Holder;
   uint64_t m_Token = 0;
-  uint64_t m_Revision = 0; // of the object; 0 = it does not exist
+  uint64_t m_Incarnation = 0; // of the holder's process
+  uint64_t m_Revision = 0;    // of the object; 0 = it does not exist
 };
 
 // Status of an instance, by itself.
--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -25,6 +25,8 @@
 constexpr Millis PollInterval{120};
 // The duty is taken over beforehand once this host has been first in order for so long.
 constexpr Millis SettleTime{3000};
+// Polls until the heir of a handover has caught up.
+constexpr int CatchUpRounds = 5;
 // Instances are told whom the connection serves.
 constexpr const char *ControlCustomer = "quetzalpaddle";
 
@@ -160,11 +162,14 @@
   if (!Read)
     co_return T.m_Duty.m_Token != 0;
   PromotionDuty Next = *Read;
-  if (!mayTakeDuty(T, Next, Host.m_Settings.m_Host, bootNow(), Settings)) {
+  auto Holder = Host.m_Members.m_Hosts.find(Next.m_Holder);
+  uint64_t Incarnation = Holder == Host.m_Members.m_Hosts.end() ? 0 : Holder->second.m_Incarnation;
+  if (!mayTakeDuty(T, Next, Host.m_Settings.m_Host, Incarnation, bootNow(), Settings)) {
     logTakeover(Group, T, "duty_left", "held by " + Next.m_Holder);
     co_return false;
   }
   Next.m_Holder = Host.m_Settings.m_Host;
+  Next.m_Incarnation = Host.m_Incarnation;
   ++Next.m_Token;
   std::string Body = platform::encodeDuty(Group.m_Name, Next);
   platform::StoreResult<StoredObjectVersion> Written = StoreFault::NoAnswer;
@@ -271,7 +276,7 @@
   Position Needed = Primary.begin()->second.m_Received;
   std::set<std::string> Next;
   Next.insert(Heir);
-  for (int Round = 0; Round < 10; ++Round) {
+  for (int Round = 0; Round < CatchUpRounds; ++Round) {
     auto Now =
         statuses(co_await controlAll(Host, Group.m_Name, Next, std::string(platform::StatusText)));
     if (!Now.empty() && Now.begin()->second.m_Received >= Needed)
--- a/src/takeover.cpp
+++ b/src/takeover.cpp
@@ -24,8 +24,8 @@
 }
 
 bool mayTakeDuty(Takeover &State, const PromotionDuty &Stored, const std::string &Self,
-                 TimePoint Now, const TakeoverSettings &Settings) {
-  if (Stored.m_Token == 0 || Stored.m_Holder == Self)
+                 uint64_t Incarnation, TimePoint Now, const TakeoverSettings &Settings) {
+  if (Stored.m_Token == 0 || Stored.m_Holder == Self || Incarnation > Stored.m_Incarnation)
     return true;
   if (State.m_SeenToken != Stored.m_Token) {
     State.m_SeenToken = Stored.m_Token;
--- a/src/takeover.h
+++ b/src/takeover.h
@@ -19,7 +19,8 @@
   Millis m_PromoteWait{3000}; // for the instance to lead after the order
   Millis m_OrderAgain{700};   // an order without an answer is repeated
   Millis m_Pause{300};        // after a failed attempt
-  Millis m_HolderGrace{5000}; // the duty is left to its holder until it was unchanged this long
+  Millis m_HolderGrace{2500}; // the duty is left to its holder until it was unchanged this long:
+                              // the longest attempt whose order is answered
 };
 
 // Progress of one group at the host that promotes in it.
@@ -49,8 +50,9 @@
 
 // Whether this host may take the duty, as the store has it. Two attempts at a time would undo each
 // other's fence: another holder's attempt gets time to end.
+// Incarnation: the newest one known of the holder; an attempt ends with the process that ran it.
 bool mayTakeDuty(Takeover &State, const PromotionDuty &Stored, const std::string &Self,
-                 TimePoint Now, const TakeoverSettings &Settings);
+                 uint64_t Incarnation, TimePoint Now, const TakeoverSettings &Settings);
 
 // The answers of the instances after the replicas stopped receiving.
 struct TakeoverBallot {
