--- a/src/line_sync.cpp
+++ b/src/line_sync.cpp
@@ -114,10 +114,10 @@
     return;
   logLine(LogLevel::Info, "instance_unlisted",
           {{"instance", Id}, {"group", Group->m_Name}, {"why", std::string(Why)}});
+  // A primary stays the believed one until another is promoted: its log is the one that the choice
+  // of a successor does without.
   I.m_Listed = false;
   I.m_UnlistedSince = Now;
-  if (Group->m_Primary == Id)
-    noteNotPrimary(*Group, Id, Now);
 }
 
 void applyInstance(LineHost &Host, const StoredObjectVersion &Object) {
--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -24,7 +24,7 @@
 // Polls while a promotion is awaited.
 constexpr Millis PollInterval{120};
 // The duty is taken over beforehand once this host has been first in order for so long.
-constexpr Millis SettleTime{3000};
+constexpr Millis SettleTime{1000};
 // Polls until the heir of a handover has caught up.
 constexpr int CatchUpRounds = 5;
 // Instances are told whom the connection serves.
--- a/src/positions.cpp
+++ b/src/positions.cpp
@@ -149,7 +149,7 @@
 bool hasPrimary(const LineGroup &Group, TimePoint Now) {
   bool Switching = Group.m_Switching != 0 && Now - Group.m_SwitchingAt < SwitchingLapse;
   auto Found = Group.m_Instances.find(Group.m_Primary);
-  if (Switching || Found == Group.m_Instances.end())
+  if (Switching || Found == Group.m_Instances.end() || !Found->second.m_Listed)
     return false;
   return !Found->second.m_Leaving || Now < Found->second.m_WorkUntil;
 }
--- a/tests/positions_test.cpp
+++ b/tests/positions_test.cpp
@@ -121,6 +121,14 @@
   cr_assert_not(hasPrimary(Group, Start + Millis(5000)));
 }
 
+// The pattern: the primary's data centre is cut off, so that its entry lapses.
+Test(positions, unlisted_primary_gets_no_work_but_is_remembered) {
+  LineGroup Group = makeGroup();
+  Group.m_Instances["p"].m_Listed = false;
+  cr_assert_not(hasPrimary(Group, Start));
+  cr_assert_eq(Group.m_Primary, "p");
+}
+
 Test(positions, refusal_makes_the_primary_unknown) {
   LineGroup Group = makeGroup();
   noteNotPrimary(Group, "p", Start);
