Resume replicas that a broken-off attempt left suspended

A host in the cut data centre had suspended replicas, lost the duty in the meantime and did not resume them; the next holder did not know. Change: a forced attempt suspends nothing if its choice could not be made anyway; taking the duty resumes the replicas; dispatchers report writes that stall, which resumes them again and after 2.5 s forces a promotion (a primary without replicas).

--- a/src/line_dispatch.cpp
+++ b/src/line_dispatch.cpp
@@ -30,6 +30,8 @@
 // Without any answer for this long although statements are in progress, the instance is probed.
 constexpr Millis SilentAfter{450};
 constexpr Millis ProbeTimeout{350};
+// Writes that take so long wait for a replica, or their answers are lost.
+constexpr Millis StallAfter{600};
 // Back-off from an instance that cannot be reached.
 constexpr Millis FirstBackoff{100};
 constexpr Millis MostBackoff{800};
@@ -420,6 +422,7 @@
   auto Close = [C] { closeSocket(C->m_Line.m_Socket); };
   ScopedDeadline Limit(Host.m_Watchdog, bootNow() + Millis(Request.run_ms()), Close);
   C->m_SentAt = bootNow();
+  C->m_Writing = Request.write();
   D.m_Running.insert(C);
   RunReply Reply;
   bool Prepared = co_await prepare(C, Request);
@@ -439,6 +442,8 @@
   C->m_SentAt = {};
   if (Reply.outcome() == RunReply::ANSWERED)
     markReachable(Request.instance(), D);
+  if (Request.write() && Reply.outcome() == RunReply::ANSWERED && Reply.error_code().empty())
+    D.m_WroteAt = bootNow();
   co_return Reply;
 }
 
@@ -599,6 +604,18 @@
     endTransaction(Host, Key);
 }
 
+// Notes whether a primary acknowledges no write although some are due.
+void watchWrites(LineHost &Host, const std::string &Instance, const InstanceDispatch &D,
+                 TimePoint Now) {
+  auto IsDue = [&](const auto &C) { return C->m_Writing && Now - C->m_SentAt > StallAfter; };
+  LineGroup *Group = findGroupOf(Host, Instance);
+  if (!Group || Group->m_Primary != Instance || Now - D.m_WroteAt < StallAfter ||
+      std::ranges::none_of(D.m_Running, IsDue))
+    return;
+  Group->m_WritesStalled = true;
+  Group->m_WritesStalledAt = Now;
+}
+
 void tickDispatches(LineHost &Host, TimePoint Now) {
   for (auto &[Id, D] : Host.m_Dispatches) {
     for (const QueuedRequest &Expired : expireQueued(D.m_Queue, Now, {}))
@@ -611,6 +628,7 @@
       D.m_Idle.pop_back();
       closeConnection(D, Oldest);
     }
+    watchWrites(Host, Id, D, Now);
     auto IsOverdue = [&](const auto &C) {
       return Now - C->m_SentAt > SilentAfter && C->m_SentAt > TimePoint{};
     };
--- a/src/line_gossip.cpp
+++ b/src/line_gossip.cpp
@@ -26,6 +26,8 @@
 constexpr size_t KnownPerDatagram = 3;
 // A report that an instance cannot be reached is passed on for so long.
 constexpr Millis ReportLapse{1000};
+// A report that writes stall holds so long without being renewed.
+constexpr Millis StallLapse{400};
 // Customers without a request for this long are left out of reports.
 constexpr Millis QuietCustomer{3000};
 // A leaf that has not reported for this long has another home.
@@ -55,6 +57,7 @@
     auto Found = Host.m_Takeovers.find(Name);
     if (Found != Host.m_Takeovers.end() && Found->second.m_Running && Group.m_Switching != 0)
       News.set_switching(Group.m_Switching);
+    News.set_writes_stalled(Group.m_WritesStalled && Now - Group.m_WritesStalledAt < StallLapse);
     if (auto Newest = newestProof(Group.m_History)) {
       News.mutable_proved()->set_term(Newest->m_Position.m_Term);
       News.mutable_proved()->set_index(Newest->m_Position.m_Index);
@@ -117,6 +120,10 @@
     Group.m_Switching = News.switching();
     Group.m_SwitchingAt = Now;
   }
+  if (News.writes_stalled() && News.primary() == Group.m_Primary) {
+    Group.m_WritesStalled = true;
+    Group.m_WritesStalledAt = std::max(Group.m_WritesStalledAt, Now - StallLapse / 2);
+  }
   bool SamePrimary = !News.primary().empty() && News.primary() == Group.m_Primary;
   if (News.proved_age_us() == 0 || Message.echo_us() == 0 || !SamePrimary)
     return;
--- a/src/line_host.h
+++ b/src/line_host.h
@@ -67,8 +67,9 @@
   std::string m_Customer;
   ConnectionContent m_Content;
   bool m_Broken = false;
-  TimePoint m_Since{};  // of the last use
-  TimePoint m_SentAt{}; // of the statement in progress; zero if none
+  TimePoint m_Since{};    // of the last use
+  TimePoint m_SentAt{};   // of the statement in progress; zero if none
+  bool m_Writing = false; // that statement is a write or a commit
 };
 
 struct SlotWaiter {
@@ -96,6 +97,7 @@
   uint32_t m_Open = 0;                                       // connections, idle or not
   Duration m_Service{};                                      // smoothed time of a statement
   TimePoint m_AnsweredAt{};                                  // last answer
+  TimePoint m_WroteAt{};                                     // last acknowledged write or commit
   TimePoint m_FailedAt{};                                    // last failed connection or silence
   TimePoint m_RetryAt{};                                     // no connection is opened before
   Duration m_Backoff{};
--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -206,6 +206,20 @@
   co_await controlAll(Host, std::move(Group), std::move(Ids), std::string(platform::ResumeText));
 }
 
+// Lets every replica receive again: an attempt of this or another host may have broken off.
+Awaitable<void> resumeAll(LineHost &Host, std::string GroupName) {
+  LineGroup &Group = Host.m_Groups[GroupName];
+  Takeover &T = Host.m_Takeovers[GroupName];
+  bool Holds = co_await takeDuty(Host, Group, T);
+  if (Holds) {
+    std::set<std::string> Replicas = listInstances(Group, true);
+    T.m_ResumedAt = bootNow();
+    logTakeover(Group, T, "replicas_resumed", "duty taken or writes stall");
+    co_await resumeSuspended(Host, GroupName, Replicas);
+  }
+  T.m_Running = false;
+}
+
 // Orders the promotion until the instance leads. Returns whether it does.
 Awaitable<bool> promote(LineHost &Host, LineGroup &Group, Takeover &T, std::string Candidate) {
   TimePoint Until = bootNow() + Settings.m_PromoteWait;
@@ -290,6 +304,12 @@
 Awaitable<std::string> prepareForced(LineHost &Host, LineGroup &Group, Takeover &T) {
   auto Asked = statuses(co_await controlAll(Host, Group.m_Name, listInstances(Group, true),
                                             std::string(platform::StatusText)));
+  // Nothing is suspended in vain: this host may be the one that is cut off.
+  TakeoverBallot Outlook;
+  Outlook.m_Replicas = Asked;
+  Outlook.m_Missing = listMissing(Group, Group.m_Primary, Asked);
+  if (chooseSuccessor(Group, Outlook).empty())
+    co_return std::string();
   std::set<std::string> Reached;
   for (const auto &[Id, Status] : Asked)
     Reached.insert(Id);
@@ -401,16 +421,15 @@
       } else if (Need == TakeoverNeed::Replace || Need == TakeoverNeed::Force) {
         T.m_Running = true;
         asio::co_spawn(Host.m_Io, runTakeover(Host, Name, Need), asio::detached);
+      } else if (Need == TakeoverNeed::Resume) {
+        T.m_Running = true;
+        asio::co_spawn(Host.m_Io, resumeAll(Host, Name), asio::detached);
       } else if (Need == TakeoverNeed::None) {
         T.m_MissingSince = {};
         if (Settled && T.m_Duty.m_Token == 0) {
           T.m_NextTry = Now + SettleTime;
           T.m_Running = true;
-          auto Take = [](LineHost &H, std::string G) -> Awaitable<void> {
-            co_await takeDuty(H, H.m_Groups[G], H.m_Takeovers[G]);
-            H.m_Takeovers[G].m_Running = false;
-          };
-          asio::co_spawn(Host.m_Io, Take(Host, Name), asio::detached);
+          asio::co_spawn(Host.m_Io, resumeAll(Host, Name), asio::detached);
         }
       }
     }
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr TimePoint Start{std::chrono::hours(1)};
+Takeover Fresh;
 const TakeoverSettings Settings;
 
 LineGroup makeGroup() {
@@ -30,7 +31,7 @@
 Test(takeover, proof_keeps_the_primary) {
   LineGroup Group = makeGroup();
   addProof(Group.m_History, {{1, 1}, Start - Millis(100)}, Start);
-  cr_assert(assessPrimary(Group, {}, Start, Settings) == TakeoverNeed::None);
+  cr_assert(assessPrimary(Group, Fresh, Start, Settings) == TakeoverNeed::None);
 }
 
 // A pause of 300 ms is no reason to promote.
@@ -63,7 +64,26 @@
   LineGroup Group = makeGroup();
   Group.m_Instances["p"].m_Leaving = true;
   addProof(Group.m_History, {{1, 1}, Start}, Start);
-  cr_assert(assessPrimary(Group, {}, Start, Settings) == TakeoverNeed::Replace);
+  cr_assert(assessPrimary(Group, Fresh, Start, Settings) == TakeoverNeed::Replace);
+}
+
+// The pattern: the host that ran an attempt was cut off in the middle of it, and its replicas are
+// still suspended. They are resumed; if that does not help, the primary has lost them.
+Test(takeover, stalled_writes_resume_replicas_then_force) {
+  LineGroup Group = makeGroup();
+  Takeover State;
+  auto Assess = [&](int Ms) {
+    TimePoint Now = Start + Millis(Ms);
+    addProof(Group.m_History, {{1, 1}, Now}, Now);
+    Group.m_WritesStalled = true;
+    Group.m_WritesStalledAt = Now;
+    return assessPrimary(Group, State, Now, Settings);
+  };
+  cr_assert(Assess(0) == TakeoverNeed::Resume);
+  State.m_ResumedAt = Start;
+  cr_assert(Assess(500) == TakeoverNeed::None);
+  cr_assert(Assess(1100) == TakeoverNeed::Resume);
+  cr_assert(Assess(2600) == TakeoverNeed::Force);
 }
 
 // The pattern: one replica received nothing for a while, then the primary crashes.
