Add a fault soak of the real programs, and say in logs what decided a failure

Change: statement_failed has the inputs and no data; answer_missing at the dispatcher. testing/line_soak.py: processes, loopback proxies (delay, one way, silence, reset), signals, instances that die, lag and lose answers; own writes, acknowledged writes and promises are checked.

--- a/src/answer.h
+++ b/src/answer.h
@@ -35,7 +35,7 @@
   Unknown, // may or may not have taken effect; ask again with the same request id
 };
 
-// Reason codes; docs/operations.md lists them. Append only: the number is part of the protocol
+// Reason codes; docs/OPERATIONS.md lists them. Append only: the number is part of the protocol
 // between hosts.
 enum class Reason : uint32_t {
   None = 0,
--- a/src/http_front.h
+++ b/src/http_front.h
@@ -1,4 +1,4 @@
-// Callers' front end: HTTP/1.1 with JSON, to requests of entry.h and back. docs/operations.md
+// Callers' front end: HTTP/1.1 with JSON, to requests of entry.h and back. docs/OPERATIONS.md
 // describes the API.
 #pragma once
 
--- a/src/language.h
+++ b/src/language.h
@@ -1,4 +1,4 @@
-// The operators' query and command language: text to plain structs. docs/operations.md describes
+// The operators' query and command language: text to plain structs. docs/OPERATIONS.md describes
 // the statements; the grammar is the table in language.cpp.
 #pragma once
 
--- a/src/line_dispatch.cpp
+++ b/src/line_dispatch.cpp
@@ -439,11 +439,19 @@
     Reply = co_await exchange(C, Request);
   }
   D.m_Running.erase(C);
-  C->m_SentAt = {};
   if (Reply.outcome() == RunReply::ANSWERED)
     markReachable(Request.instance(), D);
+  else
+    logLine(LogLevel::Info, "answer_missing",
+            {{"id", Request.statement_id()},
+             {"instance", Request.instance()},
+             {"customer", Request.customer()},
+             {"sent", Reply.outcome() == RunReply::LOST ? "yes" : "no"},
+             {"waited_ms", std::to_string((bootNow() - C->m_SentAt) / Millis(1))},
+             {"limit_ms", std::to_string(Request.run_ms())}});
   if (Request.write() && Reply.outcome() == RunReply::ANSWERED && Reply.error_code().empty())
     D.m_WroteAt = bootNow();
+  C->m_SentAt = {};
   co_return Reply;
 }
 
--- a/src/line_session.cpp
+++ b/src/line_session.cpp
@@ -40,6 +40,7 @@
   std::string m_Error; // code; empty = success
   std::string m_Text;
   Reason m_Why = Reason::None; // for logs and metrics
+  std::string m_Inputs;        // what decided it, with ages, for logs
 };
 
 struct SessionTransaction {
@@ -275,6 +276,29 @@
   return Request;
 }
 
+// What an attempt rested on: instance, dispatcher and the age of the newest proof.
+std::string describeAttempt(LineHost &Host, const Target &To, const std::string &Dispatcher,
+                            int Try) {
+  const LineGroup *Group = findGroupOf(Host, To.m_Instance);
+  auto Newest = Group ? newestProof(Group->m_History) : std::nullopt;
+  return fmt::format("instance {} by {} try {} primary {} generation {} proof_age_ms {}",
+                     To.m_Instance, Dispatcher, Try, Group ? Group->m_Primary : "",
+                     Group ? Group->m_Generation : 0,
+                     Newest ? (bootNow() - Newest->m_At) / Millis(1) : -1);
+}
+
+// The state of a customer's rate when a request was refused.
+CallerAnswer refuseByRate(const LineHost &Host, const std::string &Customer) {
+  CallerAnswer Answer = refuse("OVERLOAD", "over the rate", Reason::RateLimited);
+  auto Found = Host.m_Usage.m_Customers.find(Customer);
+  if (Found != Host.m_Usage.m_Customers.end())
+    Answer.m_Inputs =
+        fmt::format("customer {} rate {:.1f} burst {:.1f} level {:.1f} offered {:.1f}", Customer,
+                    Found->second.m_Rate, Found->second.m_Burst, Found->second.m_Level,
+                    offeredRate(Found->second, bootNow()));
+  return Answer;
+}
+
 CallerAnswer failedAnswer(const FirstRun &Run, const RunReply &Reply) {
   auto Why = static_cast<Reason>(Reply.refusal());
   bool Single = !Run.m_Transaction;
@@ -334,6 +358,7 @@
       co_return takeAnswer(Reply);
     }
     Last = failedAnswer(Run, Reply);
+    Last.m_Inputs = describeAttempt(Host, *To, Dispatcher, Try);
     if (!mayRunAgain(Reply, Run.m_Write && !T))
       co_return Last;
     if (T)
@@ -406,7 +431,7 @@
 CallerAnswer beginHere(LineHost &Host, CallerSession &S, const Statement &What,
                        const Permission &Allowed) {
   if (!admitUse(Host.m_Usage, Allowed.m_Customer, bootNow()))
-    return refuse("OVERLOAD", "over the rate", Reason::RateLimited);
+    return refuseByRate(Host, Allowed.m_Customer);
   S.m_Transaction = {};
   SessionTransaction &T = S.m_Transaction;
   T.m_Begun = true;
@@ -465,7 +490,7 @@
 Awaitable<CallerAnswer> runSingle(LineHost &Host, CallerSession &S, const Statement &What,
                                   const Permission &Allowed) {
   if (!admitUse(Host.m_Usage, Allowed.m_Customer, bootNow()))
-    co_return refuse("OVERLOAD", "over the rate", Reason::RateLimited);
+    co_return refuseByRate(Host, Allowed.m_Customer);
   FirstRun Run;
   Run.m_What = &What;
   Run.m_Route = &Allowed.m_Route;
@@ -516,19 +541,19 @@
   countAnswer(*Host.m_Metrics, S.m_Database, "", classify(Answer), Answer.m_Why, Took, false);
   if (Answer.m_Error.empty())
     return;
-  auto Group = Host.m_Groups.find(S.m_Transaction.m_Route.m_Group);
+  const SessionTransaction &T = S.m_Transaction;
   logLine(
       LogLevel::Info, "statement_failed",
       {{"id", What.m_Id},
-       {"text", What.m_Text.substr(0, 40)},
+       {"verb", What.m_Text.substr(0, What.m_Text.find(' '))}, // data of callers is not logged
        {"database", S.m_Database},
        {"code", Answer.m_Error},
        {"why", std::string(reasonName(Answer.m_Why))},
        {"detail", Answer.m_Text},
        {"took_ms", fmt::format("{:.1f}", std::chrono::duration<double, std::milli>(Took).count())},
        {"config", std::to_string(Host.m_Config ? Host.m_Config->m_Version : 0)},
-       {"instance", S.m_Transaction.m_Instance},
-       {"primary", Group == Host.m_Groups.end() ? "" : Group->second.m_Primary}});
+       {"inputs", Answer.m_Inputs},
+       {"transaction", T.m_Begun ? T.m_Instance + " by " + T.m_Dispatcher : ""}});
 }
 
 std::string formatAnswer(const CallerSession &S, const CallerAnswer &Answer) {
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -1,4 +1,4 @@
-// Counters, gauges and histograms of a host, exposed by prometheus-cpp. docs/operations.md lists
+// Counters, gauges and histograms of a host, exposed by prometheus-cpp. docs/OPERATIONS.md lists
 // them.
 #pragma once
 
--- a/testing/line_demo.py
+++ b/testing/line_demo.py
@@ -261,4 +261,5 @@
     os._exit(status)  # pending watches of the stand-in are of no interest
 
 
-asyncio.run(run())
+if __name__ == "__main__":
+    asyncio.run(run())
--- /dev/null
+++ b/testing/line_soak.py
@@ -0,0 +1,266 @@
+#!/usr/bin/env python3
+"""Randomized fault soak of entry hosts: the real programs as processes, faults from outside them.
+
+Loopback proxies before each instance and the store delay, cut one way, go silent and reset;
+processes are stopped, paused, killed and restarted by signals; instances are killed, lag, lose
+answers and leave; configurations change. Faults come in series and overlap. Promises are checked
+while it runs, from what callers and instances see, and every acknowledged write at the end.
+
+usage: line_soak.py PROGRAM [--seed N] [--seeds FIRST-LAST] [--seconds S] [--hosts N] [--base PORT]
+
+Seeds that ever failed, kept as regression cases (run by CI with the short ones): see REGRESSIONS.
+"""
+import argparse
+import asyncio
+import os
+import pathlib
+import random
+import signal
+import sys
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent))
+import line_demo  # noqa: E402
+from line_standins import System  # noqa: E402
+
+# seed -> cause of the failure that it once showed
+REGRESSIONS = {}
+
+
+class Proxy:
+    """Forwards one port. Modes: pass, delay, to (nothing towards the target), back, silent."""
+
+    def __init__(self, port, target):
+        self.port, self.target, self.mode, self.writers = port, target, "pass", set()
+
+    async def serve(self, reader, writer):
+        try:
+            far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, far_writer}
+        await asyncio.gather(self.pump(reader, far_writer, "to"),
+                             self.pump(far_reader, writer, "back"))
+        self.writers -= {writer, far_writer}
+
+    async def pump(self, reader, writer, way):
+        try:
+            while data := await reader.read(65536):
+                if self.mode == "delay":
+                    await asyncio.sleep(0.05)
+                while self.mode in (way, "silent"):
+                    await asyncio.sleep(0.05)
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            pass
+        writer.transport.abort()
+
+    def reset(self):
+        for writer in set(self.writers):
+            writer.transport.abort()
+
+
+class Soak:
+    def __init__(self, args, seed):
+        self.args, self.rng = args, random.Random(seed)
+        self.system = System(args.base)
+        self.acked, self.doubtful, self.broken, self.counts = {}, {}, [], {}
+
+    async def start(self):
+        s = self.system
+        await s.start()
+        self.proxies = []
+        for group in s.groups.values():
+            for instance in group.instances.values():
+                proxy = Proxy(next(s.ports), instance.port)
+                await s.listen(proxy.serve, proxy.port)
+                instance.port = proxy.port
+                await instance.register()
+                self.proxies.append(proxy)
+        store = Proxy(next(s.ports), s.store_port)
+        await s.listen(store.serve, store.port)
+        s.store_port = store.port
+        self.proxies.append(store)
+        await s.configure(line_demo.KEYS, line_demo.ROUTES)
+        self.hosts = [line_demo.Host(self.args.program, n, s.zones[n % 2], self.args.base, s)
+                      for n in range(self.args.hosts)]
+        for host in self.hosts:
+            await line_demo.until(host.is_ready, "a ready host", 20)
+
+    async def write_and_read(self, number, end):
+        """One worker: its items are its own, so that it knows what each may hold."""
+        value = 0
+        while time.monotonic() < end:
+            caller = line_demo.Caller(self.rng.choice(self.hosts).port, "orders",
+                                      self.rng.choice(list(line_demo.KEYS)))
+            item = f"w{number}"
+            try:
+                if await asyncio.wait_for(caller.open(), 3):
+                    raise ConnectionError
+                for _ in range(self.rng.randrange(1, 8)):
+                    value += 1
+                    await self.step(caller, item, str(value))
+                caller.writer.close()
+            except (ConnectionError, OSError, asyncio.TimeoutError, StopAsyncIteration):
+                await asyncio.sleep(0.05)
+
+    async def step(self, caller, item, value):
+        in_transaction = self.rng.random() < 0.3
+        self.doubtful.setdefault(item, set()).add(value)  # until the answer says otherwise
+        texts = ["BEGIN", f"WRITE {item} {value}", "COMMIT"] if in_transaction \
+            else [f"WRITE {item} {value}"]
+        for text in texts:
+            error, _ = await asyncio.wait_for(caller.run(text), 8)
+            if error:
+                break
+        self.counts[error] = self.counts.get(error, 0) + 1
+        if error in ("BUSY", "ABORTED", "LAGGING", "READONLY", "OVERLOAD", "WRONGNODE"):
+            self.doubtful[item].discard(value)
+            self.check_promise(item, value, error)
+        if error:
+            raise StopAsyncIteration
+        self.doubtful[item].discard(value)
+        self.acked[item] = value
+        error, rows = await asyncio.wait_for(caller.run(f"READ {item}"), 8)
+        if not error and rows != [value] and rows[0] not in self.doubtful[item]:
+            self.broken.append(f"{item}: wrote {value}, read {rows}")
+
+    def check_promise(self, item, value, error):
+        for group in self.system.groups.values():
+            primary = group.primary()
+            if primary and any(e[2] == item and e[3] == value for e in primary.log):
+                self.broken.append(f"{item}={value} is kept although {error} was answered")
+
+    async def disturb(self, end):
+        """One fault after another, some before the last has ended."""
+        while time.monotonic() < end:
+            asyncio.ensure_future(self.fault(self.rng.randrange(10)))
+            await asyncio.sleep(self.rng.uniform(0.2, 1.5))
+
+    async def fault(self, kind):
+        rng, host = self.rng, self.rng.choice(self.hosts)
+        group = rng.choice(list(self.system.groups.values()))
+        instance = rng.choice(list(group.instances.values()))
+        pause = rng.uniform(0.2, 2.0)
+        if kind == 0:
+            host.process.send_signal(signal.SIGKILL)
+            host.process.wait()
+            await asyncio.sleep(pause / 2)
+            host.start()
+        elif kind == 1:
+            host.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(pause)
+            host.process.send_signal(signal.SIGCONT)
+        elif kind == 2:
+            host.process.terminate()
+            await asyncio.get_running_loop().run_in_executor(None, host.process.wait)
+            host.start()
+        elif kind in (3, 4):
+            proxy = rng.choice(self.proxies)
+            proxy.mode = rng.choice(["delay", "to", "back", "silent"])
+            await asyncio.sleep(pause)
+            proxy.mode = "pass"
+        elif kind == 5:
+            rng.choice(self.proxies).reset()
+        elif kind == 6 and sum(i.up for i in group.instances.values()) == 3:
+            instance.kill()
+            await asyncio.sleep(pause * 2)
+            instance.revive()
+        elif kind == 7:
+            instance.lag = rng.choice([0.02, 0.3, 1.0])
+        elif kind == 8:
+            instance.lose_next = rng.randrange(1, 4)
+        elif kind == 9:
+            await self.system.configure(line_demo.KEYS, line_demo.ROUTES)
+
+    async def settle(self):
+        """Ends all faults; then every acknowledged write is there and statements ran once."""
+        for proxy in self.proxies:
+            proxy.mode = "pass"
+        for group in self.system.groups.values():
+            for instance in group.instances.values():
+                instance.lag = 0.02
+                instance.revive()
+
+        async def served():
+            try:
+                caller = line_demo.Caller(self.hosts[0].port, "posts", "key-a")
+                if await asyncio.wait_for(caller.open(), 3):
+                    return False
+                error, _ = await asyncio.wait_for(caller.run("WRITE end 1"), 5)
+                return not error
+            except (ConnectionError, OSError, asyncio.TimeoutError):
+                return False
+        await line_demo.until(served, "service after the faults", 12)
+        primary = self.system.groups["g1"].primary()
+        for item, value in self.acked.items():
+            held = primary.value(item)
+            if held != value and held not in self.doubtful[item]:
+                self.broken.append(f"{item}: {value} was acknowledged, {held} is kept")
+        customers = set(line_demo.KEYS.values())
+        for group in self.system.groups.values():
+            for instance in group.instances.values():
+                wrong = [s for s in instance.statements if s[1] not in customers]
+                if wrong:
+                    self.broken.append(f"statement for an unknown customer: {wrong[0]}")
+
+    async def run(self):
+        await self.start()
+        end = time.monotonic() + self.args.seconds
+        tasks = [self.write_and_read(n, end) for n in range(12)] + [self.disturb(end)]
+        await asyncio.gather(*tasks)
+        await asyncio.sleep(2.5)  # faults that still run
+        await self.settle()
+
+    def stop(self):
+        for host in getattr(self, "hosts", []):
+            if host.process.poll() is None:
+                host.process.send_signal(signal.SIGCONT)
+                host.process.kill()
+
+
+async def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("program")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", help="FIRST-LAST: one after the other, each in its own process")
+    parser.add_argument("--seconds", type=float, default=12)
+    parser.add_argument("--hosts", type=int, default=4)
+    parser.add_argument("--base", type=int, default=21000)
+    args = parser.parse_args()
+    asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+    if args.seeds:
+        first, last = map(int, args.seeds.split("-"))
+        failed = []
+        for seed in range(first, last + 1):
+            child = await asyncio.create_subprocess_exec(
+                sys.executable, __file__, args.program, "--seed", str(seed), "--seconds",
+                str(args.seconds), "--hosts", str(args.hosts), "--base", str(args.base))
+            if await child.wait():
+                failed.append(seed)
+        print(f"soak: seeds {args.seeds}, failed: {failed or 'none'}")
+        return 1 if failed else 0
+    soak = Soak(args, args.seed)
+    try:
+        await soak.run()
+    except AssertionError as error:
+        soak.broken.append(str(error))
+    finally:
+        soak.stop()
+    print(f"soak: seed {args.seed}: {'FAILED' if soak.broken else 'passed'}, "
+          f"outcomes {soak.counts}", *soak.broken[:5], sep="\n  " if soak.broken else " ")
+    if soak.broken and os.environ.get("SHOW_LOGS"):
+        for host in soak.hosts:
+            print("----", host.port, line_demo.read_log(host), sep="\n")
+    return 1 if soak.broken else 0
+
+
+async def run():
+    status = await main()
+    sys.stdout.flush()
+    os._exit(status)  # pending watches of the stand-in are of no interest
+
+
+asyncio.run(run())
