--- a/src/line_host.h
+++ b/src/line_host.h
@@ -11,6 +11,7 @@
 // [SECTION] The host
 #pragma once
 
+#include "hubs.h"
 #include "line_config.h"
 #include "line_transport.h"
 #include "log.h"
@@ -176,6 +177,7 @@
 
   Membership m_Members;
   MembershipSettings m_MembershipSettings;
+  HubSettings m_HubSettings;
   std::set<std::string> m_HubIds; // chosen from m_Members
   bool m_IsHub = false;
   std::string m_Home;                          // the hub this host talks to; empty if it is one
--- a/src/line_serve.cpp
+++ b/src/line_serve.cpp
@@ -181,7 +181,8 @@
   for (const auto &[Name, Group] : Host.m_Groups)
     for (const auto &[Id, I] : Group.m_Instances)
       Instances[I.m_DataCentre] += I.m_Listed ? 1 : 0;
-  Host.m_HubIds = chooseHubs(Host.m_Members, Instances, Now, Host.m_MembershipSettings);
+  Host.m_HubIds =
+      chooseHubs(Host.m_Members, Instances, Now, Host.m_MembershipSettings, Host.m_HubSettings);
   bool Hub = Host.m_HubIds.contains(Host.m_Members.m_Self);
   if (std::exchange(Host.m_IsHub, Hub) != Hub)
     logLine(LogLevel::Info, "hub_duty", {{"hub", Hub ? "yes" : "no"}});
--- a/src/line_sync.cpp
+++ b/src/line_sync.cpp
@@ -38,7 +38,7 @@
 constexpr std::chrono::minutes RememberWithdrawn{2};
 
 bool isRelayOrHub(const LineHost &Host) {
-  return Host.m_Members.m_Hosts.size() > Host.m_MembershipSettings.m_FullMesh
+  return Host.m_Members.m_Hosts.size() > Host.m_HubSettings.m_FullMesh
              ? Host.m_IsHub
              : isRelay(Host.m_Members, bootNow(), Host.m_MembershipSettings);
 }
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -2,7 +2,7 @@
 // the same hash, and the highest score owns the name. Hosts need no agreement beyond their lists;
 // when a host fails, only its own names move, evenly to the others. The cost is one hash per host
 // for each lookup, which is cheaper than keeping a ring for the host counts of one region.
-#include "quetzalpaddle.h"
+#include "hubs.h"
 
 #include <algorithm>
 #include <tuple>
@@ -137,9 +137,9 @@
 
 std::set<std::string> chooseHubs(const Membership &M,
                                  const std::map<std::string, size_t> &Instances, TimePoint Now,
-                                 const MembershipSettings &Settings) {
+                                 const MembershipSettings &Settings, const HubSettings &Limits) {
   std::set<std::string> Hubs;
-  if (M.m_Hosts.size() <= Settings.m_FullMesh) {
+  if (M.m_Hosts.size() <= Limits.m_FullMesh) {
     for (const auto &[Id, View] : M.m_Hosts)
       Hubs.insert(Id);
     return Hubs;
@@ -156,9 +156,8 @@
   for (auto &[DataCentre, Candidates] : ByDataCentre) {
     auto Served = Instances.find(DataCentre);
     size_t Count = Served == Instances.end() ? 0 : Served->second;
-    size_t Wanted =
-        std::max<size_t>(Settings.m_HubsPerDataCentre,
-                         (Count + Settings.m_InstancesPerHub - 1) / Settings.m_InstancesPerHub);
+    size_t Wanted = std::max<size_t>(
+        Limits.m_PerDataCentre, (Count + Limits.m_InstancesPerHub - 1) / Limits.m_InstancesPerHub);
     Wanted = std::min(Wanted, Candidates.size());
     std::ranges::partial_sort(Candidates, Candidates.begin() + static_cast<long>(Wanted),
                               [](const Candidate &A, const Candidate &B) {
--- a/src/quetzalpaddle.h
+++ b/src/quetzalpaddle.h
@@ -564,9 +564,6 @@
   Millis m_AvoidAfterFailure{500};
   uint32_t m_RelaysPerDataCentre = 2;
   uint32_t m_Neighbours = 8; // hosts that each host exchanges reports with
-  uint32_t m_FullMesh = 20;  // up to this many hosts, all are hubs
-  uint32_t m_HubsPerDataCentre = 2;
-  uint32_t m_InstancesPerHub = 4; // more hubs where a data centre has many instances
 };
 
 struct Membership {
@@ -596,16 +593,6 @@
 // Whether this host is one of the relays of its data centre, which watch the platform.
 bool isRelay(const Membership &M, TimePoint Now, const MembershipSettings &Settings);
 
-// The hosts that dispatch to instances and exchange news with each other; the others talk to one of
-// them. In each data centre the strongest usable ones. Instances: number in each data centre.
-std::set<std::string> chooseHubs(const Membership &M,
-                                 const std::map<std::string, size_t> &Instances, TimePoint Now,
-                                 const MembershipSettings &Settings);
-
-// The hub that a host without hub duties talks to: one of its own data centre if any is usable.
-std::string chooseHome(const Membership &M, const std::set<std::string> &Hubs, TimePoint Now,
-                       const MembershipSettings &Settings);
-
 // The hosts to exchange reports with: relays of all data centres and hosts near in rendezvous
 // order.
 std::vector<std::string> chooseNeighbours(const Membership &M, TimePoint Now,
