Remove settings without effect; name a connection that must not be reused

Cause: read as a newcomer: three settings were read and never used, and a flag for an overlong line also marked connections whose answers are still due.

--- a/src/line_dispatch.cpp
+++ b/src/line_dispatch.cpp
@@ -234,7 +234,7 @@
       fillReply(Refused, std::move(*Begun));
       for (int Left = 2; Left > 0; --Left)
         if (!co_await readAnswer(C))
-          C->m_Line.m_Overlong = true;
+          C->m_Spent = true;
       co_return Refused;
     }
   }
@@ -247,7 +247,7 @@
   if (Led) {
     auto RolledBack = co_await readAnswer(C);
     if (!RolledBack)
-      C->m_Line.m_Overlong = true; // answered, but of no further use
+      C->m_Spent = true; // answered, but of no further use
     Reply.set_state("I");
   }
   Reply.set_leads(Good && (Leads || Request.write() ||
@@ -355,7 +355,7 @@
                        bool Reusable) {
   if (C->m_Broken)
     return;
-  if (!Reusable || C->m_Line.m_Overlong || !C->m_Line.m_Socket.is_open()) {
+  if (!Reusable || C->m_Spent || !C->m_Line.m_Socket.is_open()) {
     closeConnection(D, C);
     return;
   }
@@ -432,7 +432,7 @@
   bool Prepared = co_await prepare(C, Request);
   if (!Prepared) {
     Reply = refuse(Reason::InstanceUnavailable);
-    C->m_Line.m_Overlong = true;
+    C->m_Spent = true;
   } else if (Request.mode() == RunRequest::OPEN) {
     auto Refused = co_await begin(C, Request);
     if (Refused)
--- a/src/line_host.h
+++ b/src/line_host.h
@@ -48,11 +48,8 @@
   std::string m_Promotions;         // IP:port
   Millis m_StopLimit{6000};         // from the signal to the end of the process
   Millis m_LeavingLimit{7000};      // until a leaving instance gets no new work
-  Millis m_ConfigLimit{3000};       // until a configuration is in force
-  Millis m_RateWindow{5000};        // over which rates are judged
   double m_RateTolerance = 0;       // part of a rate by which the fleet may exceed it
   double m_Cores = 1;               // part of a core that the host has
-  uint32_t m_MemoryMb = 0;          // limit of the process
 };
 
 // Text: JSON with comments. Returns every error found.
@@ -67,7 +64,8 @@
   LineConnection m_Line;
   std::string m_Customer;
   ConnectionContent m_Content;
-  bool m_Broken = false;
+  bool m_Broken = false;  // closed
+  bool m_Spent = false;   // answers may be due: not to be used again
   TimePoint m_Since{};    // of the last use
   TimePoint m_SentAt{};   // of the statement in progress; zero if none
   bool m_Writing = false; // that statement is a write or a commit
--- a/src/line_serve.cpp
+++ b/src/line_serve.cpp
@@ -102,13 +102,10 @@
   Reader.readAddress("promotions", S.m_Promotions);
   Reader.readTime("stop_limit_s", 1000, S.m_StopLimit);
   Reader.readTime("leaving_limit_ms", 1, S.m_LeavingLimit);
-  Reader.readTime("config_limit_ms", 1, S.m_ConfigLimit);
-  Reader.readTime("rate_window_s", 1000, S.m_RateWindow);
   Reader.read("rate_tolerance", S.m_RateTolerance);
   if (S.m_RateTolerance < 0 || S.m_RateTolerance > 1)
     Reader.m_Errors.emplace_back("rate_tolerance: has to be from 0 to 1");
   Reader.read("cores", S.m_Cores);
-  Reader.read("memory_mb", S.m_MemoryMb);
   if (!Reader.m_Errors.empty())
     return Reader.m_Errors;
   return S;
--- a/src/line_session.cpp
+++ b/src/line_session.cpp
@@ -30,7 +30,7 @@
 constexpr std::chrono::minutes SessionIdle{10};
 // How long a transaction may go on after its key was withdrawn.
 constexpr Millis WithdrawnGrace{1500};
-// Beyond this many sessions, or half of it per megabyte of memory, new ones are refused.
+// New sessions beyond this are refused; each takes some 10 KB and a descriptor.
 constexpr size_t MaxSessions = 2000;
 
 // What the host answers a statement with.
--- a/testing/line_demo.py
+++ b/testing/line_demo.py
@@ -63,9 +63,7 @@
                     "peer_address": self.ip, "peer_ports": [self.peer], "seeds": [],
                     "store": f"127.0.0.1:{system.store_port}",
                     "promotions": f"127.0.0.1:{system.store_port}", "stop_limit_s": 4,
-                    "leaving_limit_ms": 7000, "config_limit_ms": 3000, "rate_window_s": 5,
-                    "rate_tolerance": 0.1, "cores": 1,
-                    "memory_mb": 182}
+                    "leaving_limit_ms": 7000, "rate_tolerance": 0.1, "cores": 1}
         self.file = tempfile.NamedTemporaryFile("w", suffix=".json")
         json.dump(settings, self.file)
         self.file.flush()
