Leaves that lose their home ask all hubs; retire connections of former dispatchers

A leaf knew of the other hubs only through its home, so with the home cut off every hub looked silent after 1 s; 74 leaves took themselves for hubs, reported only to each other, and never came back. Each kept up to 6 idle connections an instance for good, as did every host from the moment after a common restart in which it knows only itself. The primaries' limit was used up by idle connections, and each waiting statement tried to open another one.

--- a/src/hubs.h
+++ b/src/hubs.h
@@ -11,16 +11,39 @@
   uint32_t m_FullMesh = 20;     // up to this many hosts, all are hubs: 20 datagrams each are cheap
   uint32_t m_PerDataCentre = 2; // so that one may fail
   uint32_t m_InstancesPerHub = 4; // more hubs where a data centre has many instances
+  // A hub not heard for this long is replaced. Shorter silences, as of a restart, only move its
+  // work to the other hubs: the next host may have a fraction of a hub's processor.
+  Millis m_ReplaceAfter{5000};
+  // A leaf that has not heard its home for two reports asks all hubs: what it knows of them comes
+  // from the home alone.
+  Millis m_AskAllAfter{450};
 };
 
-// The strongest usable hosts of each data centre. Instances: number in each data centre. All hosts
-// that see the same hosts as usable choose the same hubs.
+// What a host does for the fleet, and with whom it exchanges news.
+struct HubRoles {
+  std::set<std::string> m_Hubs;    // these dispatch
+  std::set<std::string> m_Nominal; // hubs if every host were heard: reported to, so that hosts that
+                                   // have lost each other meet again
+  bool m_IsHub = false;
+  bool m_Isolated = false; // a leaf that hears no hub: it dispatches for its own callers
+  std::string m_Home;      // of a leaf; empty if no hub is heard
+};
+
+// The strongest hosts of each data centre that were heard lately, or never. Instances: number in
+// each data centre. All hosts that hear the same hosts choose the same hubs.
 std::set<std::string> chooseHubs(const Membership &M,
                                  const std::map<std::string, size_t> &Instances, TimePoint Now,
-                                 const MembershipSettings &Settings, const HubSettings &Hubs);
+                                 const HubSettings &Hubs);
 
 // The hub that a leaf reports to: one of its own data centre if any is usable.
 std::string chooseHome(const Membership &M, const std::set<std::string> &Hubs, TimePoint Now,
                        const MembershipSettings &Settings);
 
+HubRoles assignHubs(const Membership &M, const std::map<std::string, size_t> &Instances,
+                    TimePoint Now, const MembershipSettings &Settings, const HubSettings &Hubs);
+
+// The hosts that this host sends its news to, without itself.
+std::set<std::string> chooseReportTargets(const Membership &M, const HubRoles &Roles, TimePoint Now,
+                                          const HubSettings &Hubs);
+
 } // namespace quetzalpaddle
--- a/src/line_dispatch.cpp
+++ b/src/line_dispatch.cpp
@@ -22,10 +22,7 @@
 using line::RunReply;
 using line::RunRequest;
 
-// Connections of an instance that one dispatcher uses; the rest is for another host that dispatches
-// to it for a moment while hosts come and go. Customers beyond the share replace each other's
-// connections, which are dear.
-constexpr double ConnectionShare = 0.8;
+const ConnectionSettings Connections;
 // A new connection takes a slot for some 10 to 30 ms, and waits behind statements.
 constexpr Millis ConnectTimeout{700};
 // Without any answer for this long although statements are in progress, the instance is probed.
@@ -38,6 +35,9 @@
 constexpr Millis MostBackoff{800};
 // Idle connections above one for each slot are closed after this time.
 constexpr std::chrono::seconds IdleLimit{30};
+// Idle connections of a host that no longer dispatches to the instance are closed after this time:
+// a change of dispatchers may be undone at once.
+constexpr Millis RetireAfter{1000};
 // A transaction without a statement for this long, or twice the configured idle time: the caller's
 // host would have ended it.
 constexpr Duration ForgottenAfter = std::chrono::seconds(8);
@@ -288,8 +288,14 @@
   }
   closeConnection(D, C);
   logLine(LogLevel::Warning, "connection_failed",
-          {{"instance", Instance}, {"customer", Customer}, {"why", Why}});
-  if (!Full)
+          {{"instance", Instance},
+           {"customer", Customer},
+           {"open", std::to_string(D.m_Open)},
+           {"idle", std::to_string(D.m_Idle.size())},
+           {"why", Why}});
+  if (Full)
+    noteInstanceFull(D.m_Budget, D.m_Open, D.m_Queue.m_Slots, bootNow(), Connections);
+  else
     markUnreachable(Instance, D, Why);
   co_return std::shared_ptr<LinePoolConnection>();
 }
@@ -337,7 +343,8 @@
     co_return Taken;
   auto Group = Host.m_Groups.find(Request.group());
   uint32_t Most = Group == Host.m_Groups.end() ? 1 : Group->second.m_MaxConnections;
-  auto Budget = std::max<uint32_t>(1, static_cast<uint32_t>(Most * ConnectionShare));
+  uint32_t Budget =
+      mostConnections(D.m_Budget, Most, Host.m_Roles.m_Isolated, bootNow(), Connections);
   if (D.m_Open >= Budget) {
     if (D.m_Idle.empty())
       co_return std::shared_ptr<LinePoolConnection>();
@@ -647,6 +654,18 @@
     endTransaction(Host, Key);
 }
 
+void retireDispatches(LineHost &Host, TimePoint Now) {
+  for (auto &[Id, D] : Host.m_Dispatches) {
+    const LineInstance *I = findInstance(Host, Id);
+    bool Rests = !D.m_Idle.empty() && Now - D.m_Idle.front()->m_Since > RetireAfter;
+    if (!Rests || (I && findDispatcher(Host, *I, {}) == Host.m_Members.m_Self))
+      continue;
+    logLine(LogLevel::Info, "dispatch_retired",
+            {{"instance", Id}, {"closed", std::to_string(D.m_Idle.size())}});
+    dropIdle(D);
+  }
+}
+
 void tickDispatches(LineHost &Host, TimePoint Now) {
   endForgotten(Host, Now);
   for (auto &[Id, D] : Host.m_Dispatches) {
--- a/src/line_gossip.cpp
+++ b/src/line_gossip.cpp
@@ -175,11 +175,15 @@
     takeInstanceNews(Host, News, Now);
   if (Message.from_leaf())
     Peer.m_LeafAt = Now;
-  if (Message.to_leaf())
+  bool ForLeaf = Message.to_leaf();
+  bool CountsUses = !ForLeaf || From == Host.m_Roles.m_Home; // other hubs report the same uses
+  if (ForLeaf && CountsUses)
     keepOnlyRemote(Host.m_Usage, From);
   for (const line::CustomerUse &Use : Message.uses())
-    noteRemoteUse(Host.m_Usage, Use.customer(), From,
-                  {Message.incarnation(), Use.admitted(), Use.offered()}, Message.from_leaf(), Now);
+    if (CountsUses)
+      noteRemoteUse(Host.m_Usage, Use.customer(), From,
+                    {Message.incarnation(), Use.admitted(), Use.offered()}, Message.from_leaf(),
+                    Now);
   if (Message.store_age_ms() > 0)
     Peer.m_StoreAt = Now - Millis(Message.store_age_ms() - 1);
   bool Newer = Peer.m_ConfigVersion > (Host.m_Config ? Host.m_Config->m_Version : 0) ||
@@ -251,16 +255,16 @@
   fillInstances(Host, Message, false, Now);
   for (const auto &[Name, Use] : Host.m_Usage.m_Customers)
     addUse(Message, Name, reportOwn(Use, Now));
-  for (const std::string &Id : Host.m_HubIds)
-    if (Id != Host.m_Members.m_Self)
-      sendMessage(Host, Id, Message, Now);
+  for (const std::string &Id :
+       chooseReportTargets(Host.m_Members, Host.m_Roles, Now, Host.m_HubSettings))
+    sendMessage(Host, Id, Message, Now);
 }
 
 // News of the whole fleet for the hosts that report to this one.
 void sendToLeaves(LineHost &Host, line::Gossip Message, TimePoint Now) {
   Message.set_to_leaf(true);
   fillInstances(Host, Message, true, Now);
-  for (const std::string &Id : Host.m_HubIds) {
+  for (const std::string &Id : Host.m_Roles.m_Hubs) {
     const HostView &View = Host.m_Members.m_Hosts[Id];
     line::HostInfo &Info = *Message.add_known();
     fillInfo(Info, View);
@@ -278,16 +282,19 @@
   }
 }
 
+// Only the home is told of uses: two hubs would both pass them on.
 void sendToHome(LineHost &Host, line::Gossip Message, TimePoint Now) {
   Message.set_from_leaf(true);
+  auto Targets = chooseReportTargets(Host.m_Members, Host.m_Roles, Now, Host.m_HubSettings);
+  for (const std::string &Id : Targets)
+    if (Id != Host.m_Roles.m_Home)
+      sendMessage(Host, Id, Message, Now);
+  if (!Targets.contains(Host.m_Roles.m_Home))
+    return;
   for (const auto &[Name, Use] : Host.m_Usage.m_Customers)
     if (Now - Use.m_OfferedAt < QuietCustomer)
       addUse(Message, Name, {Host.m_Incarnation, Use.m_Admitted, offeredRate(Use, Now)});
-  if (!Host.m_Home.empty())
-    sendMessage(Host, Host.m_Home, Message, Now);
-  else
-    for (const std::string &Id : Host.m_HubIds)
-      sendMessage(Host, Id, Message, Now);
+  sendMessage(Host, Host.m_Roles.m_Home, Message, Now);
 }
 
 // Until the store or another host has told of the fleet.
@@ -317,7 +324,7 @@
   line::Gossip Message = makeMessage(Host, Now);
   if (Host.m_Members.m_Hosts.size() == 1) {
     sendToSeeds(Host, Message);
-  } else if (Host.m_IsHub) {
+  } else if (Host.m_Roles.m_IsHub) {
     sendToHubs(Host, Message, Now);
     sendToLeaves(Host, Message, Now);
   } else {
--- a/src/line_host.h
+++ b/src/line_host.h
@@ -11,6 +11,7 @@
 // [SECTION] The host
 #pragma once
 
+#include "connections.h"
 #include "hubs.h"
 #include "line_config.h"
 #include "line_transport.h"
@@ -95,11 +96,12 @@
   std::list<std::shared_ptr<LinePoolConnection>> m_Idle;     // last used first
   std::set<std::shared_ptr<LinePoolConnection>> m_Running;   // with a statement in progress
   uint32_t m_Open = 0;                                       // connections, idle or not
-  Duration m_Service{};                                      // smoothed time of a statement
-  TimePoint m_AnsweredAt{};                                  // last answer
-  TimePoint m_WroteAt{};                                     // last acknowledged write or commit
-  TimePoint m_FailedAt{};                                    // last failed connection or silence
-  TimePoint m_RetryAt{};                                     // no connection is opened before
+  ConnectionBudget m_Budget;
+  Duration m_Service{};     // smoothed time of a statement
+  TimePoint m_AnsweredAt{}; // last answer
+  TimePoint m_WroteAt{};    // last acknowledged write or commit
+  TimePoint m_FailedAt{};   // last failed connection or silence
+  TimePoint m_RetryAt{};    // no connection is opened before
   Duration m_Backoff{};
   bool m_Unreachable = false;
   bool m_Probing = false;
@@ -176,9 +178,7 @@
   Membership m_Members;
   MembershipSettings m_MembershipSettings;
   HubSettings m_HubSettings;
-  std::set<std::string> m_HubIds; // chosen from m_Members
-  bool m_IsHub = false;
-  std::string m_Home;                          // the hub this host talks to; empty if it is one
+  HubRoles m_Roles;                            // by m_Members
   std::map<std::string, PeerLink> m_Links;     // by host
   std::map<std::string, PeerGossip> m_Gossips; // by host
   std::shared_ptr<Udp::socket> m_Datagrams;
@@ -213,6 +213,9 @@
 // Expires queued requests, closes idle connections and looks for instances gone silent.
 void tickDispatches(LineHost &Host, TimePoint Now);
 
+// Closes idle connections to instances that other hosts dispatch to now.
+void retireDispatches(LineHost &Host, TimePoint Now);
+
 // Expected wait for a slot.
 Duration expectedWait(const InstanceDispatch &Dispatch);
 
@@ -226,6 +229,10 @@
 Awaitable<line::RunReply> runAtDispatcher(LineHost &Host, line::RunRequest Request,
                                           std::string &Dispatcher);
 
+// The host that dispatches to an instance; empty if none is usable. Skipped: hosts tried already.
+std::string findDispatcher(const LineHost &Host, const LineInstance &Target,
+                           const std::set<std::string> &Skipped);
+
 // Closes the links to hosts that have gone silent.
 void closeSilentLinks(LineHost &Host, TimePoint Now);
 
--- a/src/line_peer.cpp
+++ b/src/line_peer.cpp
@@ -58,7 +58,7 @@
   Membership Hubs;
   Hubs.m_Self = Host.m_Members.m_Self;
   Hubs.m_DataCentre = Host.m_Members.m_DataCentre;
-  for (const std::string &Id : Host.m_HubIds) {
+  for (const std::string &Id : Host.m_Roles.m_Hubs) {
     auto Found = Host.m_Members.m_Hosts.find(Id);
     if (Found != Host.m_Members.m_Hosts.end())
       Hubs.m_Hosts.insert(*Found);
@@ -130,6 +130,9 @@
     logLine(LogLevel::Error, "peer_message_malformed", {{"peer", Peer}});
     return;
   }
+  // An answer shows that the host is there, as a datagram of its own would.
+  if (auto Known = Host.m_Members.m_Hosts.find(Peer); Known != Host.m_Members.m_Hosts.end())
+    Known->second.m_HeardAt = bootNow();
   if (Message.has_reply()) {
     uint64_t Call = Message.reply().call();
     finishCall(Host.m_Links[Peer], Call, std::move(*Message.mutable_reply()));
@@ -230,6 +233,14 @@
   }
 }
 
+std::string findDispatcher(const LineHost &Host, const LineInstance &Target,
+                           const std::set<std::string> &Skipped) {
+  Instance Named;
+  Named.m_Id = Target.m_Id;
+  Named.m_DataCentre = Target.m_DataCentre;
+  return chooseDispatcher(listHubs(Host), Named, Skipped, bootNow(), Host.m_MembershipSettings);
+}
+
 Awaitable<RunReply> runAtDispatcher(LineHost &Host, RunRequest Request, std::string &Dispatcher) {
   std::set<std::string> Skipped;
   bool Fixed = !Dispatcher.empty();
@@ -240,11 +251,7 @@
       const LineInstance *Target = findInstance(Host, Request.instance());
       if (!Target)
         co_return makeReply(RunReply::NOT_SENT, Reason::InstanceUnavailable);
-      Instance Named;
-      Named.m_Id = Target->m_Id;
-      Named.m_DataCentre = Target->m_DataCentre;
-      Dispatcher =
-          chooseDispatcher(listHubs(Host), Named, Skipped, bootNow(), Host.m_MembershipSettings);
+      Dispatcher = findDispatcher(Host, *Target, Skipped);
       if (Dispatcher.empty())
         co_return Reply;
     }
--- a/src/line_serve.cpp
+++ b/src/line_serve.cpp
@@ -28,6 +28,8 @@
 constexpr Millis GossipInterval{200};
 // Hubs are chosen anew this often.
 constexpr Millis HubInterval{100};
+// Between looks at connections to instances that others dispatch to.
+constexpr Millis RetireInterval{500};
 // The load balancer takes a host out after two failed probes, a second apart.
 constexpr Millis DrainNotice{2200};
 // Before the process is killed at the stop limit.
@@ -178,13 +180,17 @@
   for (const auto &[Name, Group] : Host.m_Groups)
     for (const auto &[Id, I] : Group.m_Instances)
       Instances[I.m_DataCentre] += I.m_Listed ? 1 : 0;
-  Host.m_HubIds =
-      chooseHubs(Host.m_Members, Instances, Now, Host.m_MembershipSettings, Host.m_HubSettings);
-  bool Hub = Host.m_HubIds.contains(Host.m_Members.m_Self);
-  if (std::exchange(Host.m_IsHub, Hub) != Hub)
-    logLine(LogLevel::Info, "hub_duty", {{"hub", Hub ? "yes" : "no"}});
-  Host.m_Home = Hub ? std::string()
-                    : chooseHome(Host.m_Members, Host.m_HubIds, Now, Host.m_MembershipSettings);
+  HubRoles Next =
+      assignHubs(Host.m_Members, Instances, Now, Host.m_MembershipSettings, Host.m_HubSettings);
+  const HubRoles &Last = Host.m_Roles;
+  if (Next.m_IsHub != Last.m_IsHub || Next.m_Isolated != Last.m_Isolated ||
+      Next.m_Home != Last.m_Home)
+    logLine(LogLevel::Info, "hub_duty",
+            {{"hub", Next.m_IsHub ? "yes" : "no"},
+             {"isolated", Next.m_Isolated ? "yes" : "no"},
+             {"home", Next.m_Home},
+             {"hubs", std::to_string(Next.m_Hubs.size())}});
+  Host.m_Roles = std::move(Next);
 }
 
 // Work that needs to be looked at soon.
@@ -198,6 +204,7 @@
   asio::steady_timer Timer(Host.m_Io);
   TimePoint GossipedAt{};
   TimePoint HubsAt{};
+  TimePoint RetiredAt{};
   for (;;) {
     Timer.expires_after(hasQueues(Host) ? TickInterval : IdleTickInterval);
     co_await Timer.async_wait(AsTuple);
@@ -208,6 +215,10 @@
       HubsAt = Now;
       refreshHubs(Host, Now);
     }
+    if (Now - RetiredAt >= RetireInterval) {
+      RetiredAt = Now;
+      retireDispatches(Host, Now);
+    }
     if (Now - GossipedAt >= GossipInterval) {
       GossipedAt = Now;
       closeSilentLinks(Host, Now);
--- a/src/line_sync.cpp
+++ b/src/line_sync.cpp
@@ -39,7 +39,7 @@
 
 bool isRelayOrHub(const LineHost &Host) {
   return Host.m_Members.m_Hosts.size() > Host.m_HubSettings.m_FullMesh
-             ? Host.m_IsHub
+             ? Host.m_Roles.m_IsHub
              : isRelay(Host.m_Members, bootNow(), Host.m_MembershipSettings);
 }
 
--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -386,12 +386,12 @@
 }
 
 bool isFirst(const LineHost &Host, const std::string &Group, TimePoint Now) {
-  if (!Host.m_IsHub)
+  if (!Host.m_Roles.m_IsHub)
     return false;
   auto Order =
       orderHosts(Host.m_Members, "promote/" + Group, "", true, Now, Host.m_MembershipSettings);
   auto First = std::ranges::find_if(
-      Order, [&](const std::string &Id) { return Host.m_HubIds.contains(Id); });
+      Order, [&](const std::string &Id) { return Host.m_Roles.m_Hubs.contains(Id); });
   return First != Order.end() && *First == Host.m_Members.m_Self;
 }
 
@@ -400,7 +400,7 @@
 Awaitable<void> watchPrimaries(LineHost &Host) {
   std::map<std::string, TimePoint> FirstSince;
   for (;;) {
-    Duration Pause = Host.m_IsHub ? LookInterval : LeafLookInterval;
+    Duration Pause = Host.m_Roles.m_IsHub ? LookInterval : LeafLookInterval;
     co_await sleepFor(Host.m_Io, Pause);
     TimePoint Now = bootNow();
     for (auto &[Name, Group] : Host.m_Groups) {
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -19,6 +19,16 @@
 
 constexpr std::string_view RelayName = "relay/";
 constexpr std::string_view HubName = "hub";
+constexpr Millis Forever = std::chrono::hours(24 * 365);
+
+// Whether a host may be a hub. One that was never heard may, until a call to it fails.
+bool isPresent(const Membership &M, const HostView &Host, TimePoint Now, Millis ReplaceAfter) {
+  if (Host.m_Leaving || Host.m_Id == M.m_Self)
+    return !Host.m_Leaving;
+  if (Host.m_HeardAt == TimePoint{})
+    return Host.m_FailedAt == TimePoint{} || ReplaceAfter == Forever;
+  return Now - Host.m_HeardAt < ReplaceAfter;
+}
 
 // The first hosts in rendezvous order for the relay role of one data centre.
 std::vector<std::string> listRelays(const Membership &M, const std::string &DataCentre,
@@ -137,7 +147,7 @@
 
 std::set<std::string> chooseHubs(const Membership &M,
                                  const std::map<std::string, size_t> &Instances, TimePoint Now,
-                                 const MembershipSettings &Settings, const HubSettings &Limits) {
+                                 const HubSettings &Limits) {
   std::set<std::string> Hubs;
   if (M.m_Hosts.size() <= Limits.m_FullMesh) {
     for (const auto &[Id, View] : M.m_Hosts)
@@ -151,7 +161,7 @@
   };
   std::map<std::string, std::vector<Candidate>> ByDataCentre;
   for (const auto &[Id, View] : M.m_Hosts)
-    if (isUsable(M, View, Now, Settings))
+    if (isPresent(M, View, Now, Limits.m_ReplaceAfter))
       ByDataCentre[View.m_DataCentre].push_back({View.m_Weight, scoreHost(Id, HubName), &Id});
   for (auto &[DataCentre, Candidates] : ByDataCentre) {
     auto Served = Instances.find(DataCentre);
@@ -187,6 +197,39 @@
   return Best;
 }
 
+HubRoles assignHubs(const Membership &M, const std::map<std::string, size_t> &Instances,
+                    TimePoint Now, const MembershipSettings &Settings, const HubSettings &Limits) {
+  HubRoles Roles;
+  Roles.m_Hubs = chooseHubs(M, Instances, Now, Limits);
+  HubSettings Heard = Limits;
+  Heard.m_ReplaceAfter = Forever;
+  Roles.m_Nominal = chooseHubs(M, Instances, Now, Heard);
+  Roles.m_IsHub = Roles.m_Hubs.contains(M.m_Self);
+  if (Roles.m_IsHub)
+    return Roles;
+  Roles.m_Home = chooseHome(M, Roles.m_Hubs, Now, Settings);
+  Roles.m_Isolated = Roles.m_Home.empty();
+  if (Roles.m_Isolated)
+    Roles.m_Hubs.insert(M.m_Self);
+  return Roles;
+}
+
+std::set<std::string> chooseReportTargets(const Membership &M, const HubRoles &Roles, TimePoint Now,
+                                          const HubSettings &Limits) {
+  std::set<std::string> Targets;
+  auto Home = M.m_Hosts.find(Roles.m_Home);
+  bool HomeHeard = Home != M.m_Hosts.end() && Home->second.m_HeardAt != TimePoint{} &&
+                   Now - Home->second.m_HeardAt < Limits.m_AskAllAfter;
+  if (!Roles.m_IsHub && HomeHeard) {
+    Targets.insert(Roles.m_Home);
+    return Targets;
+  }
+  Targets = Roles.m_Hubs;
+  Targets.insert(Roles.m_Nominal.begin(), Roles.m_Nominal.end());
+  Targets.erase(M.m_Self);
+  return Targets;
+}
+
 std::vector<std::string> chooseNeighbours(const Membership &M, TimePoint Now,
                                           const MembershipSettings &Settings) {
   // Usability is not asked for the near hosts: an exchange is how a host that was skipped is found
--- a/tests/hubs_test.cpp
+++ b/tests/hubs_test.cpp
@@ -33,27 +33,26 @@
 } // namespace
 
 Test(hubs, strongest_hosts_of_each_data_centre) {
-  auto Hubs = chooseHubs(makeFleet("d0-7"), Instances, Start, Settings, Limits);
+  auto Hubs = chooseHubs(makeFleet("d0-7"), Instances, Start, Limits);
   cr_assert_eq(Hubs.size(), 8);
   cr_assert(Hubs.contains("d3-0") && Hubs.contains("d3-1"));
 }
 
 Test(hubs, every_host_chooses_the_same) {
-  auto Hubs = chooseHubs(makeFleet("d0-7"), Instances, Start, Settings, Limits);
+  auto Hubs = chooseHubs(makeFleet("d0-7"), Instances, Start, Limits);
   for (const char *Other : {"d0-0", "d1-29", "d3-4"})
-    cr_assert(chooseHubs(makeFleet(Other), Instances, Start, Settings, Limits) == Hubs);
+    cr_assert(chooseHubs(makeFleet(Other), Instances, Start, Limits) == Hubs);
 }
 
 // The pattern: the strong hosts of a data centre are killed together. Others take over, the same
 // ones by everybody's choice, and leaves find another home.
 Test(hubs, others_follow_when_hubs_fail) {
   Membership M = makeFleet("d0-7");
-  std::string Home =
-      chooseHome(M, chooseHubs(M, Instances, Start, Settings, Limits), Start, Settings);
+  std::string Home = chooseHome(M, chooseHubs(M, Instances, Start, Limits), Start, Settings);
   cr_assert_eq(M.m_Hosts[Home].m_DataCentre, "d0");
   for (const char *Dead : {"d0-0", "d0-1"})
     M.m_Hosts[Dead].m_HeardAt = Start - Millis(5000);
-  auto Hubs = chooseHubs(M, Instances, Start, Settings, Limits);
+  auto Hubs = chooseHubs(M, Instances, Start, Limits);
   cr_assert_eq(Hubs.size(), 8);
   cr_assert_not(Hubs.contains("d0-0"));
   Home = chooseHome(M, Hubs, Start, Settings);
@@ -64,5 +63,75 @@
   Membership M = makeFleet("d0-7");
   std::erase_if(M.m_Hosts, [](const auto &H) { return H.first.size() > 4 || H.first[3] > '4'; });
   cr_assert_leq(M.m_Hosts.size(), Limits.m_FullMesh);
-  cr_assert_eq(chooseHubs(M, Instances, Start, Settings, Limits).size(), M.m_Hosts.size());
+  cr_assert_eq(chooseHubs(M, Instances, Start, Limits).size(), M.m_Hosts.size());
+}
+
+namespace {
+
+void hearHubs(Membership &M, TimePoint At) {
+  for (int Dc = 0; Dc < 4; ++Dc)
+    for (int N = 0; N < 2; ++N)
+      M.m_Hosts[fmt::format("d{}-{}", Dc, N)].m_HeardAt = At;
+}
+
+} // namespace
+
+// The pattern: a leaf and its home are on different sides of a network partition. What the leaf
+// knew of the other hubs came from the home and grows old with it, so that all leaves took
+// themselves for hubs and filled the instances' connections.
+Test(hubs, leaf_cut_off_from_its_home_asks_the_other_hubs) {
+  Membership M = makeFleet("d0-7");
+  hearHubs(M, Start);
+  HubRoles Roles = assignHubs(M, Instances, Start, Settings, Limits);
+  cr_assert_not(Roles.m_IsHub);
+  cr_assert_eq(chooseReportTargets(M, Roles, Start, Limits), std::set<std::string>{Roles.m_Home});
+  TimePoint Late = Start + Limits.m_AskAllAfter;
+  cr_assert_eq(chooseReportTargets(M, Roles, Late, Limits).size(), 8);
+  // The hubs on the own side answer within a report, long before they would be passed over.
+  M.m_Hosts["d1-0"].m_HeardAt = Late + Millis(250);
+  Roles = assignHubs(M, Instances, Late + Millis(800), Settings, Limits);
+  cr_assert_not(Roles.m_IsHub);
+  cr_assert_not(Roles.m_Isolated);
+  cr_assert_eq(Roles.m_Home, "d1-0");
+}
+
+// The pattern: a single host is cut off from all hubs, but not from the instances.
+Test(hubs, leaf_that_hears_no_hub_dispatches_for_itself_only_until_it_hears_one) {
+  Membership M = makeFleet("d0-7");
+  hearHubs(M, Start);
+  TimePoint Late = Start + Millis(1500);
+  HubRoles Roles = assignHubs(M, Instances, Late, Settings, Limits);
+  cr_assert(Roles.m_Isolated);
+  cr_assert_not(Roles.m_IsHub);
+  cr_assert(Roles.m_Hubs.contains("d0-7"));
+  cr_assert_eq(chooseReportTargets(M, Roles, Late, Limits).size(), 8);
+  M.m_Hosts["d2-1"].m_HeardAt = Late;
+  Roles = assignHubs(M, Instances, Late, Settings, Limits);
+  cr_assert_not(Roles.m_Isolated);
+  cr_assert_not(Roles.m_Hubs.contains("d0-7"));
+}
+
+// The pattern: a data centre was cut off for so long that its hubs were replaced. They are still
+// reported to, or the two sides would never meet again.
+Test(hubs, replaced_hubs_are_still_reported_to) {
+  Membership M = makeFleet("d0-0");
+  hearHubs(M, Start);
+  TimePoint Late = Start + Limits.m_ReplaceAfter;
+  M.m_Hosts["d1-0"].m_HeardAt = Late;
+  HubRoles Roles = assignHubs(M, Instances, Late, Settings, Limits);
+  cr_assert_not(Roles.m_Hubs.contains("d2-0"));
+  cr_assert(chooseReportTargets(M, Roles, Late, Limits).contains("d2-0"));
+}
+
+// The pattern: hubs restart one after the other. A leaf with a sixth of a hub's processor is no
+// better than the other hubs.
+Test(hubs, restart_of_a_hub_does_not_make_a_leaf_one) {
+  Membership M = makeFleet("d0-7");
+  hearHubs(M, Start);
+  M.m_Hosts["d0-0"].m_Draining = true;
+  M.m_Hosts["d0-0"].m_HeardAt = Start - Millis(3000);
+  HubRoles Roles = assignHubs(M, Instances, Start, Settings, Limits);
+  cr_assert(Roles.m_Hubs.contains("d0-0"));
+  cr_assert_eq(Roles.m_Hubs.size(), 8);
+  cr_assert_eq(Roles.m_Home, "d0-1");
 }
