Keep hubs through 20 s of silence; first lists of a process may be old

Cause: with hubs replaced after 5 s, a partition of 7 s still made 70 leaves hubs at second 9: each tried other leaves in vain or heard them once, and arrived at itself. And 4,189 calls to the platform: each of 370 starts registered again, listed three kinds at full price and began two watches before it had heard of the hubs that watch. Ruled out: isolated leaves (none in that log). Change: hubs are replaced after 20 s (their work moves at once, as before); the first list of a process uses allowStale, registration is skipped if the store has it, and a host that has just started watches only if it is a hub. The check others_follow_when_hubs_fail asked for a replacement after 5 s, which is what failed; it now asks for a home elsewhere at once and for the replacement at the limit. Test: partition_does_not_make_leaves_hubs.

--- a/src/hubs.h
+++ b/src/hubs.h
@@ -11,9 +11,10 @@
   uint32_t m_FullMesh = 20;     // up to this many hosts, all are hubs: 20 datagrams each are cheap
   uint32_t m_PerDataCentre = 2; // so that one may fail
   uint32_t m_InstancesPerHub = 4; // more hubs where a data centre has many instances
-  // A hub not heard for this long is replaced. Shorter silences, as of a restart, only move its
-  // work to the other hubs: the next host may have a fraction of a hub's processor.
-  Millis m_ReplaceAfter{5000};
+  // A hub not heard for this long is replaced. Shorter silences, as of a restart or a network
+  // partition, only move its work to the other hubs: the next host may have a fraction of a hub's
+  // processor, and the two sides of a partition would choose different ones.
+  Millis m_ReplaceAfter{20000};
   // A leaf that has not heard its home for two reports asks all hubs: what it knows of them comes
   // from the home alone.
   Millis m_AskAllAfter{450};
--- a/src/line_host.h
+++ b/src/line_host.h
@@ -150,7 +150,8 @@
   TimePoint m_AnsweredAt{}; // last answer to a list or watch
   TimePoint m_NewerSince{}; // some host has something newer since; zero if none
   std::map<std::string, std::string> m_InstancePayloads; // to pass on to other hosts
-  bool m_Registered = false;
+  bool m_Registered = false;                             // this host's object is in the store
+  bool m_HostsListed = false;                            // so that the hubs are known
   TimePoint m_AskedPeerAt{};
 };
 
@@ -164,6 +165,7 @@
   boost::asio::io_context &m_Io;
   EntrySettings m_Settings;
   uint64_t m_Incarnation = 0;
+  TimePoint m_StartedAt = bootNow();
   std::shared_ptr<Metrics> m_Metrics = openMetrics();
   Watchdog m_Watchdog;
   Random m_Random;
--- a/src/line_serve.cpp
+++ b/src/line_serve.cpp
@@ -170,9 +170,9 @@
 
 // --- Life cycle ---
 
-bool isReady(const LineHost &Host, TimePoint StartedAt) {
+bool isReady(const LineHost &Host) {
   return Host.m_Config && !Host.m_Draining && Host.m_Store.m_InstancesRevision != 0 &&
-         bootNow() - StartedAt > StartGrace;
+         bootNow() - Host.m_StartedAt > StartGrace;
 }
 
 void refreshHubs(LineHost &Host, TimePoint Now) {
@@ -290,7 +290,6 @@
   configureLog(Settings->m_Host, false, stdout);
   asio::io_context Io(1);
   LineHost Host(Io, *Settings);
-  TimePoint StartedAt = bootNow();
   Host.m_Incarnation = std::chrono::duration_cast<std::chrono::microseconds>(
                            std::chrono::system_clock::now().time_since_epoch())
                            .count();
@@ -313,7 +312,7 @@
   Admin.m_Port = AdminEndpoint->port();
   Admin.m_PlainText = true;
   AdminFunctions Functions;
-  Functions.m_Ready = [&Host, StartedAt] { return isReady(Host, StartedAt); };
+  Functions.m_Ready = [&Host] { return isReady(Host); };
   Functions.m_Dump = [&Host] { return dumpState(Host); };
   auto Front = startAdminFront(
       Admin, [&Io](std::function<void()> Run) { asio::post(Io, std::move(Run)); }, Host.m_Metrics,
--- a/src/line_sync.cpp
+++ b/src/line_sync.cpp
@@ -18,12 +18,16 @@
 
 namespace {
 
+using platform::Freshness;
+
 // Longest wait of a watch. A store that falls silent shows only when it ends.
 constexpr std::chrono::seconds WatchWait{4};
 // An answer of the store to another host counts for so long: a watch and the way.
 constexpr Millis StoreFresh{7000};
 // Of the time that a leaving primary gets work: for statements on their way.
 constexpr Millis LeavingMargin{3500};
+// A host that has just started waits so long for news of those that watch.
+constexpr Millis HearFirst{1500};
 // Between looks at whether this host has to watch.
 constexpr Millis IdlePause{200};
 // Back-off after a failed call, with full jitter.
@@ -212,6 +216,9 @@
 
 bool hasWatchDuty(const LineHost &Host) {
   TimePoint Now = bootNow();
+  bool Starting = Now - Host.m_StartedAt < HearFirst;
+  if (Starting && (!Host.m_Store.m_HostsListed || !isRelayOrHub(Host)))
+    return false;
   return isRelayOrHub(Host) || std::ranges::none_of(Host.m_Gossips, [&](const auto &Entry) {
            return Now - Entry.second.m_StoreAt < StoreFresh &&
                   Now - Entry.second.m_HeardAt < Host.m_MembershipSettings.m_PassOverAfter;
@@ -232,8 +239,11 @@
     }
     // g++ 12 miscompiles co_await in a conditional expression.
     platform::StoreResult<StoreSnapshot> Result = StoreFault::NoAnswer;
+    // What an old list lacks comes from the watch or from other hosts. A list after a gap in the
+    // history has to be newer than the gap.
+    Freshness Wanted = First ? Freshness::MayBeOld : Freshness::Newest;
     if (Revision == 0)
-      Result = co_await platform::listObjects(Host.m_StoreClient, Kind);
+      Result = co_await platform::listObjects(Host.m_StoreClient, Kind, Wanted);
     else
       Result = co_await platform::watchObjects(Host.m_StoreClient, Kind, Revision, WatchWait);
     if (auto *Fault = std::get_if<StoreFault>(&Result)) {
@@ -317,33 +327,47 @@
   co_await followKind(Host, platform::InstanceKind, TakeList, TakeChanges);
 }
 
+// Takes over the store's list of hosts. Returns whether this host is in it, nothing if the store
+// does not answer.
+Awaitable<std::optional<bool>> listHosts(LineHost &Host, Freshness Wanted) {
+  auto Result = co_await platform::listObjects(Host.m_StoreClient, platform::HostKind, Wanted);
+  auto *List = std::get_if<StoreSnapshot>(&Result);
+  if (!List)
+    co_return std::nullopt;
+  bool Present = false;
+  for (const StoredObjectVersion &Object : List->m_Objects) {
+    auto Decoded = platform::decodeHost(Object.m_Payload);
+    auto *View = std::get_if<HostView>(&Decoded);
+    if (!View)
+      continue;
+    auto [Known, New] = Host.m_Members.m_Hosts.try_emplace(View->m_Id, *View);
+    Present = Present ||
+              (View->m_Id == Host.m_Members.m_Self && View->m_Address == Known->second.m_Address);
+  }
+  co_return Present;
+}
+
 Awaitable<void> registerHost(LineHost &Host) {
+  // After a restart the object of the earlier process is there, and says the same.
+  auto Known = co_await listHosts(Host, Freshness::MayBeOld);
+  Host.m_Store.m_Registered = Known.value_or(false);
+  Host.m_Store.m_HostsListed = Host.m_Store.m_Registered;
   Duration Pause{};
   while (!Host.m_Store.m_Registered) {
     const HostView &Self = Host.m_Members.m_Hosts[Host.m_Members.m_Self];
     auto Created = co_await platform::createObject(Host.m_StoreClient, platform::HostKind,
                                                    platform::encodeHost(Self, 0));
     auto *Fault = std::get_if<StoreFault>(&Created);
-    // The object of an earlier process of this host says the same.
     Host.m_Store.m_Registered = !Fault || *Fault == StoreFault::Conflict;
     if (!Host.m_Store.m_Registered)
       co_await sleepFor(Host.m_Io, nextPause(Host, Pause));
   }
   Pause = Duration::zero();
-  for (bool Listed = false; !Listed;) {
-    auto Result = co_await platform::listObjects(Host.m_StoreClient, platform::HostKind);
-    auto *List = std::get_if<StoreSnapshot>(&Result);
-    Listed = List != nullptr;
-    if (!Listed) {
+  while (!Host.m_Store.m_HostsListed) {
+    auto Listed = co_await listHosts(Host, Freshness::Newest);
+    Host.m_Store.m_HostsListed = Listed.has_value();
+    if (!Listed)
       co_await sleepFor(Host.m_Io, nextPause(Host, Pause));
-      continue;
-    }
-    for (const StoredObjectVersion &Object : List->m_Objects) {
-      auto Decoded = platform::decodeHost(Object.m_Payload);
-      auto *View = std::get_if<HostView>(&Decoded);
-      if (View && View->m_Id != Host.m_Members.m_Self)
-        Host.m_Members.m_Hosts.try_emplace(View->m_Id, *View);
-    }
   }
   logLine(LogLevel::Info, "host_registered",
           {{"hosts", std::to_string(Host.m_Members.m_Hosts.size())}});
--- a/tests/hubs_test.cpp
+++ b/tests/hubs_test.cpp
@@ -44,8 +44,8 @@
     cr_assert(chooseHubs(makeFleet(Other), Instances, Start, Limits) == Hubs);
 }
 
-// The pattern: the strong hosts of a data centre are killed together. Others take over, the same
-// ones by everybody's choice, and leaves find another home.
+// The pattern: the strong hosts of a data centre are killed together. Leaves find another home at
+// once; if the hosts stay away, others take over, the same ones by everybody's choice.
 Test(hubs, others_follow_when_hubs_fail) {
   Membership M = makeFleet("d0-7");
   std::string Home = chooseHome(M, chooseHubs(M, Instances, Start, Limits), Start, Settings);
@@ -53,6 +53,12 @@
   for (const char *Dead : {"d0-0", "d0-1"})
     M.m_Hosts[Dead].m_HeardAt = Start - Millis(5000);
   auto Hubs = chooseHubs(M, Instances, Start, Limits);
+  Home = chooseHome(M, Hubs, Start, Settings);
+  cr_assert(Hubs.contains(Home));
+  cr_assert_neq(M.m_Hosts[Home].m_DataCentre, "d0");
+  for (const char *Dead : {"d0-0", "d0-1"})
+    M.m_Hosts[Dead].m_HeardAt = Start - Limits.m_ReplaceAfter;
+  Hubs = chooseHubs(M, Instances, Start, Limits);
   cr_assert_eq(Hubs.size(), 8);
   cr_assert_not(Hubs.contains("d0-0"));
   Home = chooseHome(M, Hubs, Start, Settings);
@@ -135,3 +141,17 @@
   cr_assert_eq(Roles.m_Hubs.size(), 8);
   cr_assert_eq(Roles.m_Home, "d0-1");
 }
+
+// The pattern: a partition of 7 s splits the fleet. A leaf tries other leaves in vain or hears them
+// once; it must not arrive at itself in the end.
+Test(hubs, partition_does_not_make_leaves_hubs) {
+  Membership M = makeFleet("d0-7");
+  hearHubs(M, Start);
+  for (int N = 2; N < 30; ++N)
+    if (N != 7)
+      M.m_Hosts[fmt::format("d0-{}", N)].m_FailedAt = Start;
+  M.m_Hosts["d1-0"].m_HeardAt = Start + Millis(7000);
+  HubRoles Roles = assignHubs(M, Instances, Start + Millis(7000), Settings, Limits);
+  cr_assert_not(Roles.m_IsHub);
+  cr_assert_not(Roles.m_Isolated);
+}
