Tell other hosts the token of the promotion duty; suspect a primary after 450 ms

Ruled out: a shorter wait (it keeps two attempts apart), and attempts without the store: worked out and dropped, since an order that only renews the fence may name a primary that is no longer one (see decisions/platform.md). Change: a holder's token goes with its news. A token heard for 2.5 s and found unchanged in the store may be raised at once. A primary is suspected after 450 ms without proof (700 before); it still has to miss probes for 500 ms. Tests: takeover_test (3 patterns).

--- a/src/line_gossip.cpp
+++ b/src/line_gossip.cpp
@@ -57,6 +57,8 @@
     auto Found = Host.m_Takeovers.find(Name);
     if (Found != Host.m_Takeovers.end() && Found->second.m_Running && Group.m_Switching != 0)
       News.set_switching(Group.m_Switching);
+    if (Found != Host.m_Takeovers.end())
+      News.set_duty_token(Found->second.m_Duty.m_Token);
     News.set_writes_stalled(Group.m_WritesStalled && Now - Group.m_WritesStalledAt < StallLapse);
     if (auto Newest = newestProof(Group.m_History)) {
       News.mutable_proved()->set_term(Newest->m_Position.m_Term);
@@ -116,6 +118,8 @@
     return;
   LineGroup &Group = Found->second;
   notePromotion(Group, News.primary(), News.generation(), Now);
+  if (News.duty_token() != 0 && Host.m_Roles.m_IsHub)
+    noteHeardToken(Host.m_Takeovers[News.group()], News.duty_token(), Now);
   if (News.switching() > Group.m_Generation) {
     Group.m_Switching = News.switching();
     Group.m_SwitchingAt = Now;
--- a/src/takeover.cpp
+++ b/src/takeover.cpp
@@ -26,6 +26,13 @@
   return TakeoverNeed::Probe;
 }
 
+void noteHeardToken(Takeover &State, uint64_t Token, TimePoint Now) {
+  if (Token <= State.m_SeenToken)
+    return;
+  State.m_SeenToken = Token;
+  State.m_SeenAt = Now;
+}
+
 bool mayTakeDuty(Takeover &State, const PromotionDuty &Stored, const std::string &Self,
                  uint64_t Incarnation, TimePoint Now, const TakeoverSettings &Settings) {
   if (Stored.m_Token == 0 || Stored.m_Holder == Self || Incarnation > Stored.m_Incarnation)
--- a/src/takeover.h
+++ b/src/takeover.h
@@ -13,7 +13,7 @@
 namespace quetzalpaddle {
 
 struct TakeoverSettings {
-  Millis m_SuspectAfter{700}; // without any proof of a lead, from this or another host
+  Millis m_SuspectAfter{450}; // without any proof of a lead, from this or another host
   Millis m_ProbeTimeout{350}; // of a status statement
   Millis m_ConfirmFor{500};   // probes have to fail for this long
   Millis m_PromoteWait{3000}; // for the instance to lead after the order
@@ -32,7 +32,7 @@
   TimePoint m_NextTry{};
   TimePoint m_ResumedAt{};
   TimePoint m_TakenAt{};    // when this host last raised the token
-  uint64_t m_SeenToken = 0; // of another holder
+  uint64_t m_SeenToken = 0; // of another holder, in the store or as told by it
   TimePoint m_SeenAt{};     // when that token was first seen
   TimePoint m_ProbedAt{};
   std::set<std::string> m_Suspended; // replicas that this host told to stop receiving
@@ -51,6 +51,10 @@
 TakeoverNeed assessPrimary(const LineGroup &Group, const Takeover &State, TimePoint Now,
                            const TakeoverSettings &Settings);
 
+// A holder tells the other hosts its token. They know then how long it has been unchanged when the
+// holder falls silent, and need not wait for that.
+void noteHeardToken(Takeover &State, uint64_t Token, TimePoint Now);
+
 // Whether this host may take the duty, as the store has it. Two attempts at a time would undo each
 // other's fence: another holder's attempt gets time to end.
 // Incarnation: the newest one known of the holder; an attempt ends with the process that ran it.
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -148,3 +148,32 @@
   Group.m_Instances["r2"].m_Leaving = true;
   cr_assert_eq(chooseHeir(Group, {{"r1", received(5)}, {"r2", received(9)}}), "r1");
 }
+
+// The pattern: a data centre is cut off together with the holder of the duty. The other hosts have
+// heard its token for a long time and need not wait to see whether it changes.
+Test(takeover, token_heard_for_long_may_be_taken_at_once) {
+  Takeover State;
+  PromotionDuty Stored{"other", 3, 7, 5};
+  noteHeardToken(State, 3, Start);
+  noteHeardToken(State, 3, Start + Millis(3000)); // told again and again
+  cr_assert(mayTakeDuty(State, Stored, "self", 7, Start + Millis(3000), Settings));
+}
+
+// The holder had just begun an attempt when it fell silent: the token is newer than the one heard.
+Test(takeover, token_raised_since_it_was_heard_is_left_to_its_holder) {
+  Takeover State;
+  noteHeardToken(State, 2, Start);
+  PromotionDuty Stored{"other", 3, 7, 5};
+  TimePoint Read = Start + Millis(5000);
+  cr_assert_not(mayTakeDuty(State, Stored, "self", 7, Read, Settings));
+  cr_assert(mayTakeDuty(State, Stored, "self", 7, Read + Settings.m_HolderGrace, Settings));
+}
+
+// An old datagram does not make the store's token look unchanged.
+Test(takeover, late_news_of_a_lower_token_changes_nothing) {
+  Takeover State;
+  PromotionDuty Stored{"other", 3, 7, 5};
+  cr_assert_not(mayTakeDuty(State, Stored, "self", 7, Start, Settings));
+  noteHeardToken(State, 2, Start + Millis(100));
+  cr_assert_not(mayTakeDuty(State, Stored, "self", 7, Start + Millis(2000), Settings));
+}
