Let the holder of the promotion duty act while it tells its token

Ruled out: a shorter grace. Change: the holder promotes as long as it tells that it holds the duty, whatever the order; a holder that the store does not answer stops telling, so that others follow. An attempt that was left to the holder goes on when the grace ends, without new probes. Tests: takeover_test (3 patterns).

--- a/src/line_gossip.cpp
+++ b/src/line_gossip.cpp
@@ -57,7 +57,9 @@
     auto Found = Host.m_Takeovers.find(Name);
     if (Found != Host.m_Takeovers.end() && Found->second.m_Running && Group.m_Switching != 0)
       News.set_switching(Group.m_Switching);
-    if (Found != Host.m_Takeovers.end())
+    // A holder that is cut off from the store cannot raise its token: others are to follow it.
+    bool Promotes = Host.m_Roles.m_IsHub && !Host.m_Draining && Host.m_Store.m_Reachable;
+    if (Found != Host.m_Takeovers.end() && Promotes)
       News.set_duty_token(Found->second.m_Duty.m_Token);
     News.set_writes_stalled(Group.m_WritesStalled && Now - Group.m_WritesStalledAt < StallLapse);
     if (auto Newest = newestProof(Group.m_History)) {
@@ -119,7 +121,7 @@
   LineGroup &Group = Found->second;
   notePromotion(Group, News.primary(), News.generation(), Now);
   if (News.duty_token() != 0 && Host.m_Roles.m_IsHub)
-    noteHeardToken(Host.m_Takeovers[News.group()], News.duty_token(), Now);
+    noteHeardToken(Host.m_Takeovers[News.group()], Message.host().id(), News.duty_token(), Now);
   if (News.switching() > Group.m_Generation) {
     Group.m_Switching = News.switching();
     Group.m_SwitchingAt = Now;
--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -1,4 +1,5 @@
-// Carries out promotions in the groups for which this host is first in rendezvous order.
+// Carries out promotions in the groups whose promotion duty this host holds, or takes while no
+// other host tells that it holds it and this one is first in rendezvous order.
 //
 // The holder of a group's duty is recorded in the platform's store; the token rises with every
 // holder and with every attempt, by a conditional update before the first call of the attempt. An
@@ -332,7 +333,9 @@
   countEvent(*Host.m_Metrics, "takeover_started");
   bool Done = false;
   std::string Candidate;
-  if (co_await takeDuty(Host, Group, T)) {
+  bool Holds = co_await takeDuty(Host, Group, T);
+  bool LeftToHolder = !Holds && T.m_SeenToken > T.m_Duty.m_Token;
+  if (Holds) {
     if (Forced) {
       Group.m_Switching = T.m_Duty.m_Token;
       Group.m_SwitchingAt = bootNow();
@@ -350,7 +353,10 @@
   else
     Group.m_Switching = 0;
   T.m_NextTry = Now + Settings.m_Pause;
-  T.m_MissingSince = {};
+  if (LeftToHolder)
+    T.m_NextTry = std::max(T.m_NextTry, findGraceEnd(T, Settings));
+  else
+    T.m_MissingSince = {};
   // Another host's attempt may rest on the replicas that this one suspended.
   std::set<std::string> Suspended = std::exchange(T.m_Suspended, {});
   if (!Suspended.empty() && co_await holdsDuty(Host, GroupName, T))
@@ -385,14 +391,16 @@
   T.m_Running = false;
 }
 
-bool isFirst(const LineHost &Host, const std::string &Group, TimePoint Now) {
-  if (!Host.m_Roles.m_IsHub)
+bool isPromoter(LineHost &Host, const std::string &Group, TimePoint Now) {
+  if (!Host.m_Roles.m_IsHub || Host.m_Draining)
     return false;
   auto Order =
       orderHosts(Host.m_Members, "promote/" + Group, "", true, Now, Host.m_MembershipSettings);
   auto First = std::ranges::find_if(
       Order, [&](const std::string &Id) { return Host.m_Roles.m_Hubs.contains(Id); });
-  return First != Order.end() && *First == Host.m_Members.m_Self;
+  return choosePromoter(Host.m_Takeovers[Group], Host.m_Members.m_Self,
+                        First == Order.end() ? std::string() : *First, Now,
+                        Settings) == Host.m_Members.m_Self;
 }
 
 } // namespace
@@ -406,7 +414,7 @@
     for (auto &[Name, Group] : Host.m_Groups) {
       if (Group.m_Instances.empty())
         continue;
-      if (Host.m_Draining || !isFirst(Host, Name, Now)) {
+      if (!isPromoter(Host, Name, Now)) {
         FirstSince.erase(Name);
         continue;
       }
--- a/src/takeover.cpp
+++ b/src/takeover.cpp
@@ -26,11 +26,29 @@
   return TakeoverNeed::Probe;
 }
 
-void noteHeardToken(Takeover &State, uint64_t Token, TimePoint Now) {
-  if (Token <= State.m_SeenToken)
+void noteHeardToken(Takeover &State, const std::string &Holder, uint64_t Token, TimePoint Now) {
+  if (Token < State.m_SeenToken)
     return;
-  State.m_SeenToken = Token;
-  State.m_SeenAt = Now;
+  if (Token > State.m_SeenToken) {
+    State.m_SeenToken = Token;
+    State.m_SeenAt = Now;
+  }
+  State.m_Told = Holder;
+  State.m_ToldAt = Now;
+}
+
+std::string choosePromoter(const Takeover &State, const std::string &Self,
+                           const std::string &FirstInOrder, TimePoint Now,
+                           const TakeoverSettings &Settings) {
+  if (State.m_Duty.m_Token > State.m_SeenToken)
+    return Self;
+  if (!State.m_Told.empty() && Now - State.m_ToldAt < Settings.m_ToldFor)
+    return State.m_Told;
+  return FirstInOrder;
+}
+
+TimePoint findGraceEnd(const Takeover &State, const TakeoverSettings &Settings) {
+  return State.m_SeenAt + Settings.m_HolderGrace;
 }
 
 bool mayTakeDuty(Takeover &State, const PromotionDuty &Stored, const std::string &Self,
--- a/src/takeover.h
+++ b/src/takeover.h
@@ -20,6 +20,7 @@
   Millis m_OrderAgain{700};   // an order without an answer is repeated
   Millis m_Pause{300};        // after a failed attempt
   Millis m_ResumeAgain{1000}; // while writes stall
+  Millis m_ToldFor{1000};     // a holder that has not told its token for this long is silent
   Millis m_HolderGrace{2500}; // the duty is left to its holder until it was unchanged this long:
                               // the longest attempt whose order is answered
 };
@@ -33,6 +34,8 @@
   TimePoint m_ResumedAt{};
   TimePoint m_TakenAt{};    // when this host last raised the token
   uint64_t m_SeenToken = 0; // of another holder, in the store or as told by it
+  std::string m_Told;       // that holder, if it told its token itself
+  TimePoint m_ToldAt{};     // last
   TimePoint m_SeenAt{};     // when that token was first seen
   TimePoint m_ProbedAt{};
   std::set<std::string> m_Suspended; // replicas that this host told to stop receiving
@@ -53,7 +56,17 @@
 
 // A holder tells the other hosts its token. They know then how long it has been unchanged when the
 // holder falls silent, and need not wait for that.
-void noteHeardToken(Takeover &State, uint64_t Token, TimePoint Now);
+void noteHeardToken(Takeover &State, const std::string &Holder, uint64_t Token, TimePoint Now);
+
+// The host that promotes: the holder of the duty for as long as it tells that it is, else the first
+// host in rendezvous order. The duty thus does not move when the order changes, as after a restart:
+// a promotion due just then would have to wait for the grace of the holder.
+std::string choosePromoter(const Takeover &State, const std::string &Self,
+                           const std::string &FirstInOrder, TimePoint Now,
+                           const TakeoverSettings &Settings);
+
+// When a duty that was left to its holder may be taken.
+TimePoint findGraceEnd(const Takeover &State, const TakeoverSettings &Settings);
 
 // Whether this host may take the duty, as the store has it. Two attempts at a time would undo each
 // other's fence: another holder's attempt gets time to end.
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -154,15 +154,15 @@
 Test(takeover, token_heard_for_long_may_be_taken_at_once) {
   Takeover State;
   PromotionDuty Stored{"other", 3, 7, 5};
-  noteHeardToken(State, 3, Start);
-  noteHeardToken(State, 3, Start + Millis(3000)); // told again and again
+  noteHeardToken(State, "other", 3, Start);
+  noteHeardToken(State, "other", 3, Start + Millis(3000)); // told again and again
   cr_assert(mayTakeDuty(State, Stored, "self", 7, Start + Millis(3000), Settings));
 }
 
 // The holder had just begun an attempt when it fell silent: the token is newer than the one heard.
 Test(takeover, token_raised_since_it_was_heard_is_left_to_its_holder) {
   Takeover State;
-  noteHeardToken(State, 2, Start);
+  noteHeardToken(State, "other", 2, Start);
   PromotionDuty Stored{"other", 3, 7, 5};
   TimePoint Read = Start + Millis(5000);
   cr_assert_not(mayTakeDuty(State, Stored, "self", 7, Read, Settings));
@@ -174,6 +174,36 @@
   Takeover State;
   PromotionDuty Stored{"other", 3, 7, 5};
   cr_assert_not(mayTakeDuty(State, Stored, "self", 7, Start, Settings));
-  noteHeardToken(State, 2, Start + Millis(100));
+  noteHeardToken(State, "other", 2, Start + Millis(100));
   cr_assert_not(mayTakeDuty(State, Stored, "self", 7, Start + Millis(2000), Settings));
 }
+
+// The pattern: hosts restart one after the other and the first in order changes with each.
+Test(takeover, holder_promotes_while_it_tells_its_token) {
+  Takeover State;
+  cr_assert_eq(choosePromoter(State, "self", "first", Start, Settings), "first", "none is known");
+  noteHeardToken(State, "holder", 3, Start);
+  cr_assert_eq(choosePromoter(State, "self", "self", Start, Settings), "holder");
+  // It restarted, and no longer holds the duty, or was cut off.
+  TimePoint Later = Start + Settings.m_ToldFor;
+  cr_assert_eq(choosePromoter(State, "self", "self", Later, Settings), "self");
+}
+
+// A holder that was cut off comes back and hears that another host has taken the duty.
+Test(takeover, earlier_holder_gives_way_to_a_higher_token) {
+  Takeover State;
+  State.m_Duty = {"self", 3, 7, 5};
+  State.m_SeenToken = 2;
+  cr_assert_eq(choosePromoter(State, "self", "first", Start, Settings), "self");
+  noteHeardToken(State, "other", 4, Start);
+  cr_assert_eq(choosePromoter(State, "self", "self", Start, Settings), "other");
+}
+
+Test(takeover, attempt_goes_on_when_the_grace_ends) {
+  Takeover State;
+  PromotionDuty Stored{"other", 3, 7, 5};
+  cr_assert_not(mayTakeDuty(State, Stored, "self", 7, Start, Settings));
+  TimePoint End = findGraceEnd(State, Settings);
+  cr_assert(mayTakeDuty(State, Stored, "self", 7, End, Settings));
+  cr_assert_not(mayTakeDuty(State, Stored, "self", 7, End - Millis(1), Settings));
+}
