--- a/src/line_dispatch.cpp
+++ b/src/line_dispatch.cpp
@@ -428,6 +428,19 @@
   pump(D);
 }
 
+// A slot for a statement that may be sent now. Writes that are not acknowledged would take them
+// all.
+Awaitable<Reason> takeSlotFor(LineHost &Host, const RunRequest &Request) {
+  InstanceDispatch &D = Host.m_Dispatches[Request.instance()];
+  if (Request.write() && !mayStartWrite(D.m_Writes))
+    co_return Reason::NoMajority;
+  Reason Refused = co_await takeSlot(Host, Request);
+  if (Refused != Reason::None || !Request.write() || mayStartWrite(D.m_Writes))
+    co_return Refused;
+  returnSlot(D, Request.customer(), Duration::zero(), false);
+  co_return Reason::NoMajority;
+}
+
 // Exchange with a time limit: a connection without an answer by then is closed.
 Awaitable<RunReply> exchangeInTime(LineHost &Host, const std::shared_ptr<LinePoolConnection> &C,
                                    const RunRequest &Request) {
@@ -437,6 +450,7 @@
   C->m_SentAt = bootNow();
   C->m_Writing = Request.write();
   D.m_Running.insert(C);
+  D.m_Writes.m_InProgress += Request.write() ? 1 : 0;
   RunReply Reply;
   bool Prepared = co_await prepare(C, Request);
   if (!Prepared) {
@@ -452,6 +466,7 @@
     Reply = co_await exchange(C, Request);
   }
   D.m_Running.erase(C);
+  D.m_Writes.m_InProgress -= Request.write() ? 1 : 0;
   if (Reply.outcome() == RunReply::ANSWERED)
     markReachable(Request.instance(), D);
   else
@@ -463,7 +478,7 @@
              {"waited_ms", std::to_string((bootNow() - C->m_SentAt) / Millis(1))},
              {"limit_ms", std::to_string(Request.run_ms())}});
   if (Request.write() && Reply.outcome() == RunReply::ANSWERED && Reply.error_code().empty())
-    D.m_WroteAt = bootNow();
+    D.m_Writes.m_WroteAt = bootNow();
   C->m_SentAt = {};
   co_return Reply;
 }
@@ -512,7 +527,7 @@
     co_return refuse(Reason::NoTransaction);
   Found->second.m_Busy = true;
   auto C = Found->second.m_Connection;
-  Reason Refused = co_await takeSlot(Host, Request);
+  Reason Refused = co_await takeSlotFor(Host, Request);
   RunReply Reply = refuse(Refused);
   if (Refused == Reason::None) {
     TimePoint Started = bootNow();
@@ -541,7 +556,7 @@
     co_return refuse(Reason::InstanceUnavailable);
   if (D.m_Unreachable && bootNow() < D.m_RetryAt)
     co_return refuse(Reason::InstanceUnavailable);
-  Reason Refused = co_await takeSlot(Host, Request);
+  Reason Refused = co_await takeSlotFor(Host, Request);
   if (Refused != Reason::None)
     co_return refuse(Refused);
   TimePoint Started = bootNow();
@@ -631,13 +646,16 @@
 }
 
 // Notes whether a primary acknowledges no write although some are due.
-void watchWrites(LineHost &Host, const std::string &Instance, const InstanceDispatch &D,
-                 TimePoint Now) {
+void watchWrites(LineHost &Host, const std::string &Instance, InstanceDispatch &D, TimePoint Now) {
   auto IsDue = [&](const auto &C) { return C->m_Writing && Now - C->m_SentAt > StallAfter; };
   LineGroup *Group = findGroupOf(Host, Instance);
-  if (!Group || Group->m_Primary != Instance || Now - D.m_WroteAt < StallAfter ||
+  if (!Group || Group->m_Primary != Instance || Now - D.m_Writes.m_WroteAt < StallAfter ||
       std::ranges::none_of(D.m_Running, IsDue))
     return;
+  if (!isStalled(D.m_Writes))
+    logLine(LogLevel::Warning, "writes_stalled",
+            {{"instance", Instance}, {"in_progress", std::to_string(D.m_Writes.m_InProgress)}});
+  D.m_Writes.m_StalledAt = Now;
   Group->m_WritesStalled = true;
   Group->m_WritesStalledAt = Now;
 }
--- a/src/line_host.h
+++ b/src/line_host.h
@@ -20,6 +20,7 @@
 #include "statement.h"
 #include "takeover.h"
 #include "usage.h"
+#include "write_gate.h"
 
 #include "line.pb.h"
 
@@ -99,9 +100,9 @@
   ConnectionBudget m_Budget;
   Duration m_Service{};     // smoothed time of a statement
   TimePoint m_AnsweredAt{}; // last answer
-  TimePoint m_WroteAt{};    // last acknowledged write or commit
-  TimePoint m_FailedAt{};   // last failed connection or silence
-  TimePoint m_RetryAt{};    // no connection is opened before
+  WriteGate m_Writes;
+  TimePoint m_FailedAt{}; // last failed connection or silence
+  TimePoint m_RetryAt{};  // no connection is opened before
   Duration m_Backoff{};
   bool m_Unreachable = false;
   bool m_Probing = false;
--- a/src/line_session.cpp
+++ b/src/line_session.cpp
@@ -169,7 +169,8 @@
   Position At{Reply.position().term(), Reply.position().index()};
   if (Reply.outcome() != RunReply::ANSWERED) {
     if (Reply.refusal() != static_cast<uint32_t>(Reason::QueueFull) &&
-        Reply.refusal() != static_cast<uint32_t>(Reason::QueueTimeout))
+        Reply.refusal() != static_cast<uint32_t>(Reason::QueueTimeout) &&
+        Reply.refusal() != static_cast<uint32_t>(Reason::NoMajority))
       noteFailure(*I, Now);
     return;
   }
@@ -224,8 +225,8 @@
 
 // The instance says that it has not run the statement, or the statement only reads.
 bool mayRunAgain(const RunReply &Reply, bool Write) {
-  if (Reply.outcome() == RunReply::NOT_SENT)
-    return true;
+  if (Reply.outcome() == RunReply::NOT_SENT) // known to last for longer than a few tries
+    return Reply.refusal() != static_cast<uint32_t>(Reason::NoMajority);
   if (Reply.outcome() == RunReply::LOST)
     return !Write;
   const std::string &Code = Reply.error_code();
