Refuse at once when no primary is in prospect

Ruled out: refusing from the first moment (a recovery of 2 s answers callers late, but in time for their deadlines at the rope works). Change: without a usable primary a statement waits only while a promotion is in progress or the newest proof is younger than 3 s. Test: positions_test.

--- a/src/line_session.cpp
+++ b/src/line_session.cpp
@@ -344,6 +344,8 @@
     auto To =
         chooseTarget(Host, S, *Run.m_Route, Run.m_PrimaryOnly, Run.m_Write, Run.m_ArrivedAt, Tried);
     if (!To) {
+      if (!expectsPrimary(Host.m_Groups[Run.m_Route->m_Group], bootNow()))
+        break;
       Tried.clear();
       co_await sleepFor(Host.m_Io, RetryPause);
       continue;
--- a/src/positions.cpp
+++ b/src/positions.cpp
@@ -30,6 +30,9 @@
 constexpr Millis MostAvoidance{1600};
 // After a refusal for lag, until the replica is tried again.
 constexpr Millis LaggingAvoidance{60};
+// An undisturbed recovery: 1 s until the primary is given up, 1 s for the promotion, and as much
+// again for the news and for new connections.
+constexpr Millis RecoveryTime{3000};
 // News of a promotion in progress lapse: the host that runs it may have died.
 constexpr Millis SwitchingLapse{4000};
 
@@ -146,6 +149,14 @@
   return Best ? Best->m_Id : std::string();
 }
 
+bool expectsPrimary(const LineGroup &Group, TimePoint Now) {
+  if (Group.m_Switching != 0 && Now - Group.m_SwitchingAt < SwitchingLapse)
+    return true;
+  auto Newest = newestProof(Group.m_History);
+  TimePoint Last = std::max(Group.m_PrimarySince, Newest ? Newest->m_At : TimePoint{});
+  return Now - Last < RecoveryTime;
+}
+
 bool hasPrimary(const LineGroup &Group, TimePoint Now) {
   bool Switching = Group.m_Switching != 0 && Now - Group.m_SwitchingAt < SwitchingLapse;
   auto Found = Group.m_Instances.find(Group.m_Primary);
--- a/src/positions.h
+++ b/src/positions.h
@@ -100,6 +100,10 @@
 // Chooses the instance for a read by expected wait; empty if none can serve it.
 std::string chooseReader(const LineGroup &Group, const ReadWish &Wish, TimePoint Now);
 
+// Whether it is worth waiting for a primary: a promotion is in progress, or the last proof of a
+// lead is younger than an undisturbed recovery takes.
+bool expectsPrimary(const LineGroup &Group, TimePoint Now);
+
 // Whether writes may be sent to the believed primary now.
 bool hasPrimary(const LineGroup &Group, TimePoint Now);
 
--- a/tests/positions_test.cpp
+++ b/tests/positions_test.cpp
@@ -136,3 +136,17 @@
   noteRole(Group, "r2", true, Start);
   cr_assert_eq(Group.m_Primary, "r2");
 }
+
+// The pattern: a data centre is cut off, and its hosts cannot reach the primary for seconds.
+// Callers are refused at once when a recovery would have been over by now.
+Test(positions, caller_is_kept_waiting_only_for_as_long_as_a_recovery_takes) {
+  TimePoint Start{std::chrono::hours(1)};
+  LineGroup Group;
+  Group.m_PrimarySince = Start - std::chrono::seconds(60);
+  addProof(Group.m_History, {{3, 100}, Start}, Start);
+  cr_assert(expectsPrimary(Group, Start + Millis(2500)));
+  cr_assert_not(expectsPrimary(Group, Start + Millis(3500)));
+  Group.m_Switching = 4;
+  Group.m_SwitchingAt = Start + Millis(3400);
+  cr_assert(expectsPrimary(Group, Start + Millis(3500)), "a promotion is in progress");
+}
