Split the dispatcher's exchange off; check entry settings; gauges of ages

Ruled out: a header for the fair queue of its own (quetzalpaddle.h is the manual; two comments merged instead). Test: entry_settings_test.

--- a/src/line_dispatch.cpp
+++ b/src/line_dispatch.cpp
@@ -3,6 +3,7 @@
 // A statement waits for one of the instance's slots in the fair queue, then takes an idle
 // connection of its customer, opens one, or replaces an idle one of another customer. A transaction
 // keeps its connection; its statements queue before others of the customer.
+#include "line_exchange.h"
 #include "line_host.h"
 
 #include "platform/line_codec.h"
@@ -48,20 +49,7 @@
 constexpr uint32_t MaxQueuedPerCustomer = 200;
 constexpr uint32_t MaxQueued = 600;
 
-RunReply refuse(Reason Why) {
-  RunReply Reply;
-  Reply.set_outcome(RunReply::NOT_SENT);
-  Reply.set_refusal(static_cast<uint32_t>(Why));
-  return Reply;
-}
-
-RunReply lose() {
-  RunReply Reply;
-  Reply.set_outcome(RunReply::LOST);
-  return Reply;
-}
-
-Position readPosition(const line::LogPosition &P) { return {P.term(), P.index()}; }
+RunReply refuse(Reason Why) { return makeReply(RunReply::NOT_SENT, Why); }
 
 void closeConnection(InstanceDispatch &D, const std::shared_ptr<LinePoolConnection> &C) {
   if (std::exchange(C->m_Broken, true))
@@ -94,167 +82,6 @@
     logLine(LogLevel::Info, "instance_regained", {{"instance", Instance}});
 }
 
-// --- One exchange on a connection ---
-
-struct Answer {
-  std::vector<std::string> m_Rows;
-  std::string m_Digest;
-  std::string m_ErrorCode;
-  std::string m_ErrorText;
-  platform::ReadyMessage m_Ready;
-};
-
-// Reads up to the next ready message; nothing if the connection ended before.
-Awaitable<std::optional<Answer>> readAnswer(const std::shared_ptr<LinePoolConnection> &C) {
-  Answer A;
-  bool Ended = false; // complete or error seen
-  for (;;) {
-    auto Line = co_await readLine(C->m_Line, platform::MaxMessageBytes);
-    if (!Line)
-      co_return std::nullopt;
-    auto Message = platform::parseInstanceMessage(*Line);
-    if (auto *Row = std::get_if<platform::RowMessage>(&Message)) {
-      A.m_Rows.push_back(std::move(Row->m_Row));
-    } else if (auto *Complete = std::get_if<platform::CompleteMessage>(&Message)) {
-      A.m_Digest = std::move(Complete->m_Digest);
-      Ended = true;
-    } else if (auto *Error = std::get_if<platform::ErrorMessage>(&Message)) {
-      A.m_ErrorCode = std::move(Error->m_Code);
-      A.m_ErrorText = std::move(Error->m_Text);
-      Ended = true;
-    } else if (auto *Ready = std::get_if<platform::ReadyMessage>(&Message)) {
-      A.m_Ready = *Ready;
-      if (!Ended)
-        co_return std::nullopt; // an answer cut off before its end
-      co_return A;
-    } else {
-      co_return std::nullopt;
-    }
-  }
-}
-
-// Sends statements of the host's own and reads their answers. Returns whether all succeeded.
-Awaitable<bool> runOwn(const std::shared_ptr<LinePoolConnection> &C,
-                       const std::vector<std::string> &Texts) {
-  std::string Output;
-  for (const std::string &Text : Texts)
-    Output += platform::formatQuery(platform::OwnStatementId, Text);
-  if (!co_await writeText(C->m_Line, std::move(Output)))
-    co_return false;
-  bool Good = true;
-  for (size_t I = 0; I < Texts.size(); ++I) {
-    auto A = co_await readAnswer(C);
-    if (!A)
-      co_return false;
-    Good = Good && A->m_ErrorCode.empty();
-  }
-  co_return Good;
-}
-
-// Gives the connection what the session has established. Returns whether it holds it now.
-Awaitable<bool> prepare(const std::shared_ptr<LinePoolConnection> &C, const RunRequest &Request) {
-  std::map<std::string, std::string> Values;
-  for (const auto &Value : Request.values())
-    Values[Value.name()] = Value.value();
-  Preparation Plan =
-      planPreparation(C->m_Content, Values, Request.prepared_name(), Request.prepared_shape());
-  if (countPreparation(Plan) == 0)
-    co_return true;
-  std::vector<std::string> Texts;
-  if (Plan.m_Reset)
-    Texts.emplace_back(platform::ResetText);
-  for (const auto &[Name, Value] : Plan.m_Set)
-    Texts.push_back(platform::formatSet(Name, Value));
-  if (Plan.m_Prepare)
-    Texts.push_back(platform::formatPrepare(Plan.m_Prepare->first, Plan.m_Prepare->second));
-  if (!co_await runOwn(C, Texts))
-    co_return false;
-  applyPreparation(C->m_Content, Plan);
-  co_return true;
-}
-
-void fillReply(RunReply &Reply, Answer A) {
-  Reply.set_outcome(RunReply::ANSWERED);
-  for (std::string &Row : A.m_Rows)
-    Reply.add_rows(std::move(Row));
-  Reply.set_digest(std::move(A.m_Digest));
-  Reply.set_error_code(std::move(A.m_ErrorCode));
-  Reply.set_error_text(std::move(A.m_ErrorText));
-  constexpr std::array States = {"I", "T", "E"};
-  Reply.set_state(States[static_cast<size_t>(A.m_Ready.m_State)]);
-  Reply.mutable_position()->set_term(A.m_Ready.m_Position.m_Term);
-  Reply.mutable_position()->set_index(A.m_Ready.m_Position.m_Index);
-}
-
-std::string textWithPosition(const RunRequest &Request, const std::string &Text) {
-  return Request.has_after() ? platform::formatAfter(readPosition(Request.after()), Text) : Text;
-}
-
-// Opens the transaction of a first statement. Nothing is sent with it: a statement that arrives
-// after a refused begin would run on its own.
-Awaitable<std::optional<RunReply>> begin(const std::shared_ptr<LinePoolConnection> &C,
-                                         const RunRequest &Request) {
-  std::string Text = Request.read_only() ? textWithPosition(Request, "BEGIN READ") : "BEGIN";
-  if (!co_await writeText(C->m_Line, platform::formatQuery(Request.begin_id(), Text)))
-    co_return refuse(Reason::InstanceUnavailable);
-  auto A = co_await readAnswer(C);
-  if (!A)
-    co_return refuse(Reason::InstanceUnavailable);
-  if (A->m_ErrorCode.empty() && A->m_Ready.m_State == TransactionState::Open)
-    co_return std::nullopt;
-  RunReply Reply;
-  fillReply(Reply, std::move(*A));
-  co_return Reply;
-}
-
-// Runs the statement of the request on a prepared connection.
-Awaitable<RunReply> exchange(const std::shared_ptr<LinePoolConnection> &C,
-                             const RunRequest &Request) {
-  bool Led = Request.mode() == RunRequest::SINGLE_LED;
-  bool Inside = Request.mode() != RunRequest::SINGLE && !Led;
-  std::string Output;
-  if (Led)
-    Output += platform::formatQuery(platform::OwnStatementId, "BEGIN");
-  Output += platform::formatQuery(Request.statement_id(),
-                                  Inside || Led ? Request.text()
-                                                : textWithPosition(Request, Request.text()));
-  if (Led)
-    Output += platform::formatQuery(platform::OwnStatementId, "ROLLBACK");
-  if (!co_await writeText(C->m_Line, std::move(Output)))
-    co_return lose();
-  bool Leads = false;
-  if (Led) {
-    auto Begun = co_await readAnswer(C);
-    if (!Begun)
-      co_return lose();
-    Leads = Begun->m_ErrorCode.empty();
-    if (!Leads) {
-      // The statement and the rollback that follow are answered as well, and mean nothing.
-      RunReply Refused;
-      fillReply(Refused, std::move(*Begun));
-      for (int Left = 2; Left > 0; --Left)
-        if (!co_await readAnswer(C))
-          C->m_Spent = true;
-      co_return Refused;
-    }
-  }
-  auto A = co_await readAnswer(C);
-  if (!A)
-    co_return lose();
-  bool Good = A->m_ErrorCode.empty();
-  RunReply Reply;
-  fillReply(Reply, std::move(*A));
-  if (Led) {
-    auto RolledBack = co_await readAnswer(C);
-    if (!RolledBack)
-      C->m_Spent = true; // answered, but of no further use
-    Reply.set_state("I");
-  }
-  Reply.set_leads(Good && (Leads || Request.write() ||
-                           (Request.mode() == RunRequest::OPEN && !Request.read_only())));
-  co_return Reply;
-}
-
 // --- Connections ---
 
 Awaitable<std::shared_ptr<LinePoolConnection>>
@@ -451,20 +278,7 @@
   C->m_Writing = Request.write();
   D.m_Running.insert(C);
   D.m_Writes.m_InProgress += Request.write() ? 1 : 0;
-  RunReply Reply;
-  bool Prepared = co_await prepare(C, Request);
-  if (!Prepared) {
-    Reply = refuse(Reason::InstanceUnavailable);
-    C->m_Spent = true;
-  } else if (Request.mode() == RunRequest::OPEN) {
-    auto Refused = co_await begin(C, Request);
-    if (Refused)
-      Reply = std::move(*Refused);
-    else
-      Reply = co_await exchange(C, Request);
-  } else {
-    Reply = co_await exchange(C, Request);
-  }
+  RunReply Reply = co_await runOnConnection(C, Request);
   D.m_Running.erase(C);
   D.m_Writes.m_InProgress -= Request.write() ? 1 : 0;
   if (Reply.outcome() == RunReply::ANSWERED)
--- a/src/line_host.h
+++ b/src/line_host.h
@@ -57,6 +57,9 @@
 // Text: JSON with comments. Returns every error found.
 std::variant<EntrySettings, std::vector<std::string>> parseEntrySettings(const std::string &Text);
 
+// Reads a settings file; prints every error to standard error and returns nothing if there is one.
+std::optional<EntrySettings> readEntrySettings(const std::string &File);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Dispatcher of an instance (line_dispatch.cpp)
 //-----------------------------------------------------------------------------
--- a/src/line_peer.cpp
+++ b/src/line_peer.cpp
@@ -3,6 +3,7 @@
 // A call whose link breaks is lost if it may have been sent. A host that no datagram has been heard
 // from for a while is taken to be frozen or cut off: its link is closed, so that callers need not
 // wait for the full time of their statements.
+#include "line_exchange.h"
 #include "line_host.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -24,13 +25,6 @@
 
 std::string serialize(const Envelope &Message) { return Message.SerializeAsString(); }
 
-RunReply makeReply(RunReply::Outcome Outcome, Reason Why) {
-  RunReply Reply;
-  Reply.set_outcome(Outcome);
-  Reply.set_refusal(static_cast<uint32_t>(Why));
-  return Reply;
-}
-
 void finishCall(PeerLink &Link, uint64_t Call, RunReply Reply) {
   auto Found = Link.m_Calls.find(Call);
   if (Found == Link.m_Calls.end())
--- a/src/line_serve.cpp
+++ b/src/line_serve.cpp
@@ -28,6 +28,8 @@
 constexpr Millis GossipInterval{200};
 // Hubs are chosen anew this often.
 constexpr Millis HubInterval{100};
+// Gauges on the metrics address are renewed this often; they are read every 5 s or so.
+constexpr Millis GaugeInterval{2500};
 // Between looks at connections to instances that others dispatch to.
 constexpr Millis RetireInterval{500};
 // The load balancer takes a host out after two failed probes, a second apart.
@@ -46,8 +48,10 @@
 struct SettingsReader {
   const Json &m_Root;
   std::vector<std::string> m_Errors;
+  std::set<std::string> m_Known; // fields read so far
 
   template <class Value> void read(const char *Name, Value &Target) {
+    m_Known.insert(Name);
     if (!m_Root.contains(Name)) {
       m_Errors.push_back(fmt::format("{}: missing", Name));
       return;
@@ -69,6 +73,13 @@
       m_Errors.push_back(fmt::format("{}: has to be more than 0", Name));
   }
 
+  // A field that no setting has is most likely misspelt.
+  void refuseUnknown() {
+    for (const auto &[Name, Value] : m_Root.items())
+      if (!m_Known.contains(Name))
+        m_Errors.push_back(fmt::format("{}: no such setting", Name));
+  }
+
   void readAddress(const char *Name, std::string &Target) {
     size_t Errors = m_Errors.size();
     read(Name, Target);
@@ -86,8 +97,10 @@
   } catch (const Json::exception &Error) {
     return std::vector<std::string>{Error.what()};
   }
+  if (!Root.is_object())
+    return std::vector<std::string>{"not an object"};
   EntrySettings S;
-  SettingsReader Reader{Root, {}};
+  SettingsReader Reader{Root, {}, {}};
   Reader.read("host", S.m_Host);
   Reader.read("data_centre", S.m_DataCentre);
   Reader.readAddress("callers", S.m_Callers);
@@ -108,13 +121,14 @@
   if (S.m_RateTolerance < 0 || S.m_RateTolerance > 1)
     Reader.m_Errors.emplace_back("rate_tolerance: has to be from 0 to 1");
   Reader.read("cores", S.m_Cores);
+  if (S.m_Cores <= 0)
+    Reader.m_Errors.emplace_back("cores: has to be more than 0");
+  Reader.refuseUnknown();
   if (!Reader.m_Errors.empty())
     return Reader.m_Errors;
   return S;
 }
 
-namespace {
-
 std::optional<EntrySettings> readEntrySettings(const std::string &File) {
   std::ifstream Stream(File);
   std::string Text{std::istreambuf_iterator<char>(Stream), {}};
@@ -130,7 +144,31 @@
   return std::nullopt;
 }
 
-// --- State dump ---
+namespace {
+
+// --- State dump and gauges ---
+
+void publishGauges(LineHost &Host, TimePoint Now) {
+  auto Seconds = [&](TimePoint At) {
+    return At == TimePoint{} ? -1 : std::chrono::duration<double>(Now - At).count();
+  };
+  Metrics &M = *Host.m_Metrics;
+  setGauge(M, "sessions", "", static_cast<double>(Host.m_Sessions));
+  setGauge(M, "config_version", "",
+           Host.m_Config ? static_cast<double>(Host.m_Config->m_Version) : 0);
+  setGauge(M, "config_age_seconds", "", Seconds(Host.m_Config ? Host.m_ConfigAt : TimePoint{}));
+  setGauge(M, "store_answer_age_seconds", "", Seconds(Host.m_Store.m_AnsweredAt));
+  for (const auto &[Name, Group] : Host.m_Groups) {
+    auto Newest = newestProof(Group.m_History);
+    setGauge(M, "proof_age_seconds", Name, Seconds(Newest ? Newest->m_At : TimePoint{}));
+  }
+  for (const auto &[Id, D] : Host.m_Dispatches) {
+    setGauge(M, "instance_connections", Id, D.m_Open);
+    setGauge(M, "instance_queue", Id, D.m_Queue.m_Queued);
+  }
+  for (const auto &[Name, T] : Host.m_Takeovers)
+    setGauge(M, "promotion_token", Name, static_cast<double>(T.m_Duty.m_Token));
+}
 
 std::string dumpState(const LineHost &Host) {
   TimePoint Now = bootNow();
@@ -205,6 +243,7 @@
   TimePoint GossipedAt{};
   TimePoint HubsAt{};
   TimePoint RetiredAt{};
+  TimePoint GaugesAt{};
   for (;;) {
     Timer.expires_after(hasQueues(Host) ? TickInterval : IdleTickInterval);
     co_await Timer.async_wait(AsTuple);
@@ -219,6 +258,10 @@
       RetiredAt = Now;
       retireDispatches(Host, Now);
     }
+    if (Now - GaugesAt >= GaugeInterval) {
+      GaugesAt = Now;
+      publishGauges(Host, Now);
+    }
     if (Now - GossipedAt >= GossipInterval) {
       GossipedAt = Now;
       closeSilentLinks(Host, Now);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -22,7 +22,8 @@
   quetzalpaddle entry [FILE]             run an entry host that serves the statement protocol;
                                          settings: FILE, or where QUETZALPADDLE_BOOT points
   quetzalpaddle ctl [OPTIONS] [TEXT]     ask or command a running host; see ctl --help
-  quetzalpaddle check FILE               list every error of a settings file
+  quetzalpaddle check FILE               list every error of a settings file of serve
+  quetzalpaddle check --entry FILE       the same for a settings file of entry
   quetzalpaddle check --print-defaults   print a commented settings file
   quetzalpaddle completion               print a bash completion script
   quetzalpaddle version                  print the version
@@ -94,24 +95,34 @@
 
 int runCheckCommand(int Argc, char **Argv) {
   static const option Options[] = {{"print-defaults", no_argument, nullptr, 'p'},
+                                   {"entry", no_argument, nullptr, 'e'},
                                    {"help", no_argument, nullptr, 'h'},
                                    {nullptr, 0, nullptr, 0}};
-  for (int Option = 0; (Option = getopt_long(Argc, Argv, "ph", Options, nullptr)) != -1;) {
+  constexpr const char *Usage =
+      "usage: quetzalpaddle check [--entry] FILE | check --print-defaults\n";
+  bool Entry = false;
+  for (int Option = 0; (Option = getopt_long(Argc, Argv, "peh", Options, nullptr)) != -1;) {
+    if (Option == 'e') {
+      Entry = true;
+      continue;
+    }
     if (Option == 'p') {
       fmt::print("{}", formatDefaultSettings());
       return 0;
     }
     if (Option == 'h') {
-      fmt::print("usage: quetzalpaddle check FILE | check --print-defaults\n");
+      fmt::print("{}", Usage);
       return 0;
     }
     return ExitWrongUse;
   }
   if (optind + 1 != Argc) {
-    fmt::print(stderr, "usage: quetzalpaddle check FILE | check --print-defaults\n");
+    fmt::print(stderr, "{}", Usage);
     return ExitWrongUse;
   }
-  if (!readSettings(Argv[optind]))
+  bool Valid =
+      Entry ? readEntrySettings(Argv[optind]).has_value() : readSettings(Argv[optind]).has_value();
+  if (!Valid)
     return 1;
   fmt::print("{}: no errors\n", Argv[optind]);
   return 0;
--- a/src/quetzalpaddle.h
+++ b/src/quetzalpaddle.h
@@ -366,8 +366,8 @@
                       std::optional<uint64_t> &ShedId, const QueueSettings &Settings);
 
 // Takes the next request that may run now; nothing if all slots are busy or the queue is empty. Of
-// a customer's requests, those that can still meet their goals come first. PinnedOnly: only
-// statements of open transactions, because no connection is free.
+// a customer's requests, those that can still meet their goals come first.
+// PinnedOnly: only statements of open transactions, because no connection is free.
 std::optional<QueuedRequest> startNext(FairQueue &Queue, TimePoint Now, bool PinnedOnly = false);
 
 // Counts a statement that starts without waiting: the end of a transaction, which frees what it
@@ -381,11 +381,9 @@
 std::vector<QueuedRequest> expireQueued(FairQueue &Queue, TimePoint Now,
                                         const QueueSettings &Settings);
 
-// Removes and returns the queued requests that match.
+// Remove and return the queued requests that match, or those of a withdrawn key.
 std::vector<QueuedRequest>
 removeMatching(FairQueue &Queue, const std::function<bool(const QueuedRequest &)> &Matches);
-
-// Removes and returns the queued requests of a withdrawn key.
 std::vector<QueuedRequest> removeKey(FairQueue &Queue, const std::string &KeyId);
 
 //-----------------------------------------------------------------------------
