--- a/testing/line_soak.py
+++ b/testing/line_soak.py
@@ -12,6 +12,7 @@
 """
 import argparse
 import asyncio
+import collections
 import os
 import pathlib
 import random
@@ -193,12 +194,19 @@
                 return not error
             except (ConnectionError, OSError, asyncio.TimeoutError):
                 return False
+        for host in self.hosts:
+            if host.process.poll() is not None:
+                end = (line_demo.read_log(host).splitlines() or ["no log"])[-1]
+                self.broken.append(f"host at {host.port} ended by itself: {end}")
         await line_demo.until(served, "service after the faults", 12)
         primary = self.system.groups["g1"].primary()
         for item, value in self.acked.items():
             held = primary.value(item)
             if held != value and held not in self.doubtful[item]:
                 self.broken.append(f"{item}: {value} was acknowledged, {held} is kept")
+        effects = collections.Counter((e[2], e[3]) for e in primary.log if e[2] != "end")
+        self.broken += [f"{item}: {value} was written {count} times"
+                        for (item, value), count in effects.items() if count > 1]
         customers = set(line_demo.KEYS.values())
         for group in self.system.groups.values():
             for instance in group.instances.values():
@@ -230,6 +238,10 @@
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--base", type=int, default=21000)
     args = parser.parse_args()
+    # A port that the kernel hands out may be taken while its host restarts.
+    lowest = int(pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    if args.base + 300 > lowest:
+        parser.error(f"--base has to be below {lowest - 300}")
     asyncio.get_running_loop().set_exception_handler(lambda *_: None)
     if args.seeds:
         first, last = map(int, args.seeds.split("-"))
