Mend two faults of the tests: a lock held over a check, hosts started twice

Ruled out: the platform client; the call's answer was on its way. Change: runUntil asks without the lock, every 50 ms until the same limit of 10 s; a host is started again only if it has ended.

--- a/testing/line_soak.py
+++ b/testing/line_soak.py
@@ -63,6 +63,12 @@
             writer.transport.abort()
 
 
+def restart(host):
+    """Starts a host that has ended. Overlapping faults may have started it again already."""
+    if host.process.poll() is not None:
+        host.start()
+
+
 class Soak:
     def __init__(self, args, seed):
         self.args, self.rng = args, random.Random(seed)
@@ -149,7 +155,7 @@
             host.process.send_signal(signal.SIGKILL)
             host.process.wait()
             await asyncio.sleep(pause / 2)
-            host.start()
+            restart(host)
         elif kind == 1:
             host.process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(pause)
@@ -157,7 +163,7 @@
         elif kind == 2:
             host.process.terminate()
             await asyncio.get_running_loop().run_in_executor(None, host.process.wait)
-            host.start()
+            restart(host)
         elif kind in (3, 4):
             proxy = rng.choice(self.proxies)
             proxy.mode = rng.choice(["delay", "to", "back", "silent"])
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -13,6 +13,7 @@
 
 constexpr Millis CallTimeout{400};
 constexpr std::chrono::seconds WaitLimit{10};
+constexpr Millis RetryInterval{50};
 
 // Runs posted functions on the test's thread.
 struct Loop {
@@ -28,19 +29,26 @@
     };
   }
 
-  // Runs functions until Done() holds; returns whether it did within the limit.
+  // The next posted function; nothing if none came in time.
+  std::function<void()> take(TimePoint Until) {
+    std::unique_lock Lock(m_Mutex);
+    if (!m_Changed.wait_until(Lock, Until, [&] { return !m_Posted.empty(); }))
+      return nullptr;
+    auto Run = std::move(m_Posted.front());
+    m_Posted.pop_front();
+    return Run;
+  }
+
+  // Runs functions until Done() holds; returns whether it did within the limit. Done() may make
+  // calls and run functions itself, so the lock is not held, and it is asked again when nothing was
+  // posted.
   bool runUntil(const std::function<bool()> &Done, Duration Limit = WaitLimit) {
     TimePoint End = Clock::now() + Limit;
     while (!Done()) {
-      std::function<void()> Run;
-      {
-        std::unique_lock Lock(m_Mutex);
-        if (!m_Changed.wait_until(Lock, End, [&] { return !m_Posted.empty(); }))
-          return Done();
-        Run = std::move(m_Posted.front());
-        m_Posted.pop_front();
-      }
-      Run();
+      if (Clock::now() >= End)
+        return false;
+      if (auto Run = take(std::min<TimePoint>(End, Clock::now() + RetryInterval)))
+        Run();
     }
     return true;
   }
