Choose dispatchers among the hubs without a copy of them; smaller repetitions

Cause: read through as a newcomer. For each statement, and for each connection looked at for retirement, the hubs' views were copied into a fleet of their own; four intervals in runTicks had the same shape; a goal had a special case; three refusals were compared in place; takeSlotFor said nothing of what it waits for. Ruled out: one filter argument on chooseDispatcher (its callers have no hubs). Change: chooseAmong over a range, used by chooseDispatcher and chooseHubDispatcher; isDue; isDispatcherChoice; takeSlotUnlessStalled. No behaviour is meant to change. Test: hubs_test only_hubs_dispatch; assertions as they were.

--- a/src/hubs.h
+++ b/src/hubs.h
@@ -43,6 +43,11 @@
 HubRoles assignHubs(const Membership &M, const std::map<std::string, size_t> &Instances,
                     TimePoint Now, const MembershipSettings &Settings, const HubSettings &Hubs);
 
+// chooseDispatcher() among the hubs.
+std::string chooseHubDispatcher(const Membership &M, const HubRoles &Roles, const Instance &I,
+                                const std::set<std::string> &Skipped, TimePoint Now,
+                                const MembershipSettings &Settings);
+
 // The hosts that this host sends its news to, without itself.
 std::set<std::string> chooseReportTargets(const Membership &M, const HubRoles &Roles, TimePoint Now,
                                           const HubSettings &Hubs);
--- a/src/line_dispatch.cpp
+++ b/src/line_dispatch.cpp
@@ -257,7 +257,7 @@
 
 // A slot for a statement that may be sent now. Writes that are not acknowledged would take them
 // all.
-Awaitable<Reason> takeSlotFor(LineHost &Host, const RunRequest &Request) {
+Awaitable<Reason> takeSlotUnlessStalled(LineHost &Host, const RunRequest &Request) {
   InstanceDispatch &D = Host.m_Dispatches[Request.instance()];
   if (Request.write() && !mayStartWrite(D.m_Writes))
     co_return Reason::NoMajority;
@@ -341,7 +341,7 @@
     co_return refuse(Reason::NoTransaction);
   Found->second.m_Busy = true;
   auto C = Found->second.m_Connection;
-  Reason Refused = co_await takeSlotFor(Host, Request);
+  Reason Refused = co_await takeSlotUnlessStalled(Host, Request);
   RunReply Reply = refuse(Refused);
   if (Refused == Reason::None) {
     TimePoint Started = bootNow();
@@ -370,7 +370,7 @@
     co_return refuse(Reason::InstanceUnavailable);
   if (D.m_Unreachable && bootNow() < D.m_RetryAt)
     co_return refuse(Reason::InstanceUnavailable);
-  Reason Refused = co_await takeSlotFor(Host, Request);
+  Reason Refused = co_await takeSlotUnlessStalled(Host, Request);
   if (Refused != Reason::None)
     co_return refuse(Refused);
   TimePoint Started = bootNow();
--- a/src/line_peer.cpp
+++ b/src/line_peer.cpp
@@ -47,19 +47,6 @@
     Found->second.m_FailedAt = bootNow();
 }
 
-// The hubs as a fleet of their own: dispatchers are chosen among them.
-Membership listHubs(const LineHost &Host) {
-  Membership Hubs;
-  Hubs.m_Self = Host.m_Members.m_Self;
-  Hubs.m_DataCentre = Host.m_Members.m_DataCentre;
-  for (const std::string &Id : Host.m_Roles.m_Hubs) {
-    auto Found = Host.m_Members.m_Hosts.find(Id);
-    if (Found != Host.m_Members.m_Hosts.end())
-      Hubs.m_Hosts.insert(*Found);
-  }
-  return Hubs;
-}
-
 // --- The side that accepts links ---
 
 Awaitable<void> answerRun(LineHost &Host, std::shared_ptr<FrameConnection> Frames, uint64_t Link,
@@ -232,7 +219,8 @@
   Instance Named;
   Named.m_Id = Target.m_Id;
   Named.m_DataCentre = Target.m_DataCentre;
-  return chooseDispatcher(listHubs(Host), Named, Skipped, bootNow(), Host.m_MembershipSettings);
+  return chooseHubDispatcher(Host.m_Members, Host.m_Roles, Named, Skipped, bootNow(),
+                             Host.m_MembershipSettings);
 }
 
 Awaitable<RunReply> runAtDispatcher(LineHost &Host, RunRequest Request, std::string &Dispatcher) {
--- a/src/line_serve.cpp
+++ b/src/line_serve.cpp
@@ -238,6 +238,14 @@
   });
 }
 
+// Whether an interval has passed since Last, which then is Now.
+bool isDue(TimePoint &Last, Millis Interval, TimePoint Now) {
+  if (Now - Last < Interval)
+    return false;
+  Last = Now;
+  return true;
+}
+
 Awaitable<void> runTicks(LineHost &Host) {
   asio::steady_timer Timer(Host.m_Io);
   TimePoint GossipedAt{};
@@ -250,20 +258,13 @@
     TimePoint Now = bootNow();
     runDeadlines(Host.m_Watchdog, Now);
     tickDispatches(Host, Now);
-    if (Now - HubsAt >= HubInterval) {
-      HubsAt = Now;
+    if (isDue(HubsAt, HubInterval, Now))
       refreshHubs(Host, Now);
-    }
-    if (Now - RetiredAt >= RetireInterval) {
-      RetiredAt = Now;
+    if (isDue(RetiredAt, RetireInterval, Now))
       retireDispatches(Host, Now);
-    }
-    if (Now - GaugesAt >= GaugeInterval) {
-      GaugesAt = Now;
+    if (isDue(GaugesAt, GaugeInterval, Now))
       publishGauges(Host, Now);
-    }
-    if (Now - GossipedAt >= GossipInterval) {
-      GossipedAt = Now;
+    if (isDue(GossipedAt, GossipInterval, Now)) {
       closeSilentLinks(Host, Now);
       sendGossip(Host, Now);
     }
--- a/src/line_session.cpp
+++ b/src/line_session.cpp
@@ -157,6 +157,11 @@
   Request.mutable_after()->set_index(To.m_After->m_Index);
 }
 
+// Refusals by the dispatcher that say nothing against the instance.
+bool isDispatcherChoice(Reason Why) {
+  return Why == Reason::QueueFull || Why == Reason::QueueTimeout || Why == Reason::NoMajority;
+}
+
 // Takes over what an answer tells of the instance and its group.
 void learnFromReply(LineHost &Host, const std::string &Instance, const RunReply &Reply,
                     TimePoint SentAt) {
@@ -168,9 +173,7 @@
   I->m_Wait = std::chrono::microseconds(Reply.wait_us());
   Position At{Reply.position().term(), Reply.position().index()};
   if (Reply.outcome() != RunReply::ANSWERED) {
-    if (Reply.refusal() != static_cast<uint32_t>(Reason::QueueFull) &&
-        Reply.refusal() != static_cast<uint32_t>(Reason::QueueTimeout) &&
-        Reply.refusal() != static_cast<uint32_t>(Reason::NoMajority))
+    if (!isDispatcherChoice(static_cast<Reason>(Reply.refusal())))
       noteFailure(*I, Now);
     return;
   }
@@ -225,7 +228,8 @@
 
 // The instance says that it has not run the statement, or the statement only reads.
 bool mayRunAgain(const RunReply &Reply, bool Write) {
-  if (Reply.outcome() == RunReply::NOT_SENT) // known to last for longer than a few tries
+  // A primary without replicas does not recover within a few tries.
+  if (Reply.outcome() == RunReply::NOT_SENT)
     return Reply.refusal() != static_cast<uint32_t>(Reason::NoMajority);
   if (Reply.outcome() == RunReply::LOST)
     return !Write;
@@ -260,12 +264,9 @@
   Request.set_wait_ms(static_cast<uint32_t>(Left.count()));
   Request.set_run_ms(static_cast<uint32_t>(Run.m_Route->m_Timeout.count()));
   Request.set_write(Run.m_Write);
-  TimePoint Goal = Run.m_ReceivedAt + Run.m_Route->m_TargetLatency;
-  if (Goal > Now)
-    Request.set_goal_ms(
-        static_cast<uint32_t>(std::chrono::duration_cast<Millis>(Goal - Now).count()));
-  else
-    Request.set_goal_ms(1); // late already
+  auto Goal =
+      std::chrono::duration_cast<Millis>(Run.m_ReceivedAt - Now) + Run.m_Route->m_TargetLatency;
+  Request.set_goal_ms(static_cast<uint32_t>(std::max(Goal, Millis(1)).count())); // 0 = no goal
   fillSession(Request, S, *Run.m_What);
   setAfter(Request, To);
   if (SessionTransaction *T = Run.m_Transaction) {
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -5,6 +5,7 @@
 #include "hubs.h"
 
 #include <algorithm>
+#include <ranges>
 #include <tuple>
 #include <xxhash.h>
 
@@ -115,22 +116,26 @@
   return Order;
 }
 
-std::string chooseDispatcher(const Membership &M, const Instance &I,
-                             const std::set<std::string> &Skipped, TimePoint Now,
-                             const MembershipSettings &Settings) {
+namespace {
+
+// The dispatcher of an instance among the hosts given.
+template <class Hosts>
+std::string chooseAmong(const Membership &M, Hosts &&Among, const Instance &I,
+                        const std::set<std::string> &Skipped, TimePoint Now,
+                        const MembershipSettings &Settings) {
   // Hosts of other data centres are scored only if none is left in the instance's own: a request
   // would otherwise pay for a hash of every host of the fleet.
   for (bool Near : {true, false}) {
     const std::string *Best = nullptr;
     uint64_t BestScore = 0;
-    for (const auto &[Id, View] : M.m_Hosts) {
-      if ((View.m_DataCentre == I.m_DataCentre) != Near || Skipped.contains(Id) ||
+    for (const HostView &View : Among) {
+      if ((View.m_DataCentre == I.m_DataCentre) != Near || Skipped.contains(View.m_Id) ||
           !isUsable(M, View, Now, Settings))
         continue;
-      uint64_t Score = scoreHost(Id, I.m_Id);
+      uint64_t Score = scoreHost(View.m_Id, I.m_Id);
       // Equal scores go to the later id, as in orderHosts().
       if (!Best || Score >= BestScore) {
-        Best = &Id;
+        Best = &View.m_Id;
         BestScore = Score;
       }
     }
@@ -140,6 +145,23 @@
   return {};
 }
 
+} // namespace
+
+std::string chooseDispatcher(const Membership &M, const Instance &I,
+                             const std::set<std::string> &Skipped, TimePoint Now,
+                             const MembershipSettings &Settings) {
+  return chooseAmong(M, M.m_Hosts | std::views::values, I, Skipped, Now, Settings);
+}
+
+std::string chooseHubDispatcher(const Membership &M, const HubRoles &Roles, const Instance &I,
+                                const std::set<std::string> &Skipped, TimePoint Now,
+                                const MembershipSettings &Settings) {
+  auto IsKnown = [&](const std::string &Id) { return M.m_Hosts.contains(Id); };
+  auto View = [&](const std::string &Id) -> const HostView & { return M.m_Hosts.at(Id); };
+  return chooseAmong(M, Roles.m_Hubs | std::views::filter(IsKnown) | std::views::transform(View), I,
+                     Skipped, Now, Settings);
+}
+
 bool isRelay(const Membership &M, TimePoint Now, const MembershipSettings &Settings) {
   auto Relays = listRelays(M, M.m_DataCentre, Now, Settings);
   return std::ranges::find(Relays, M.m_Self) != Relays.end();
--- a/tests/hubs_test.cpp
+++ b/tests/hubs_test.cpp
@@ -155,3 +155,19 @@
   cr_assert_not(Roles.m_IsHub);
   cr_assert_not(Roles.m_Isolated);
 }
+
+// A leaf in the instance's own data centre does not dispatch; a hub that was skipped does neither.
+Test(hubs, only_hubs_dispatch) {
+  Membership M = makeFleet("d0-7");
+  HubRoles Roles = assignHubs(M, Instances, Start, Settings, Limits);
+  Instance I;
+  I.m_Id = "i-1";
+  I.m_DataCentre = "d2";
+  std::string First = chooseHubDispatcher(M, Roles, I, {}, Start, Settings);
+  cr_assert(Roles.m_Hubs.contains(First));
+  cr_assert_eq(M.m_Hosts[First].m_DataCentre, "d2");
+  std::string Second = chooseHubDispatcher(M, Roles, I, {First}, Start, Settings);
+  cr_assert(Roles.m_Hubs.contains(Second));
+  cr_assert_neq(First, Second);
+  cr_assert_eq(M.m_Hosts[Second].m_DataCentre, "d2");
+}
