--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -331,15 +331,19 @@
     BeastParser RequestParser;
     if (!co_await readRequest(Core, Conn, ClientStream, ReadBuffer, RequestParser))
       co_return;
-    CountGuard InProgressGuard(Core.m_InProgressCount);
     TimePoint Since = Clock::now();
     HttpResponse Output;
-    if (Core.m_InProgressCount > Core.m_Limits.m_MaxInProgress)
-      Output = Core.m_Service.m_MakeErrorResponse(HttpError::Overloaded,
-                                                  "too many requests in progress");
-    else
-      Output =
-          co_await callService(Core, ConnectionStrand, makeHttpRequest(RequestParser, Conn->m_Id));
+    {
+      // Ends before the answer is written: a client that has its answer may send the next request
+      // at once, on another connection.
+      CountGuard InProgressGuard(Core.m_InProgressCount);
+      if (Core.m_InProgressCount > Core.m_Limits.m_MaxInProgress)
+        Output = Core.m_Service.m_MakeErrorResponse(HttpError::Overloaded,
+                                                    "too many requests in progress");
+      else
+        Output = co_await callService(Core, ConnectionStrand,
+                                      makeHttpRequest(RequestParser, Conn->m_Id));
+    }
     if (!Output.m_Tag.empty()) {
       Conn->m_Tags.insert(Output.m_Tag);
       Conn->m_ShouldClose |= wasClosedSince(Core, Output.m_Tag, Since);
--- a/src/line_config.h
+++ b/src/line_config.h
@@ -45,8 +45,9 @@
   std::map<std::string, LineGroupConfig> m_Groups; // by name
   std::map<std::string, LineCustomer> m_Customers; // by name
   std::map<std::string, std::string> m_Keys;       // key -> customer
-  Millis m_TransactionIdleTimeout{3000}; // an idle transaction may be ended after this time
-  std::string m_Payload;                 // the stored object, forwarded to other hosts
+  Millis m_TransactionIdleTimeout{3000};     // an idle transaction may be ended after this time
+  std::string m_Payload;                     // the stored object, forwarded to other hosts
+  std::vector<std::string> m_MalformedParts; // routes, groups and customers left out, and why
 };
 
 // An object of the platform's store.
@@ -59,8 +60,9 @@
 
 // Answer to listing or watching the objects of one kind.
 struct StoreSnapshot {
-  std::vector<StoredObjectVersion> m_Objects; // all of one kind, or the changes since a revision
-  uint64_t m_Revision = 0;                    // of the store
+  std::vector<StoredObjectVersion> m_Objects;  // all of one kind, or the changes since a revision
+  uint64_t m_Revision = 0;                     // of the store
+  std::vector<std::string> m_MalformedEntries; // entries left out, and why
 };
 
 // Failure of a store call.
--- a/src/line_dispatch.cpp
+++ b/src/line_dispatch.cpp
@@ -8,16 +8,12 @@
 
 #include "platform/line_codec.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
 #include <sys/socket.h>
 
 namespace quetzalpaddle {
 
-namespace asio = boost::asio;
-
 namespace {
 
 using line::RunReply;
@@ -342,8 +338,7 @@
   }
   PinnedTransaction Transaction = std::move(It->second);
   Host.m_Transactions.erase(It);
-  asio::co_spawn(Host.m_Io, rollBack(Host, Transaction.m_Instance, Transaction.m_Connection),
-                 asio::detached);
+  spawnTask(Host, "roll_back", rollBack(Host, Transaction.m_Instance, Transaction.m_Connection));
 }
 
 void refreshDispatch(LineHost &Host, const RunRequest &Request, InstanceDispatch &Dispatch) {
@@ -566,7 +561,8 @@
     LineGroup *Group = IsSilent ? findGroupOf(Host, Id) : nullptr;
     if (Group && !std::exchange(Dispatch.m_IsProbing, true)) {
       std::string Customer = (*Dispatch.m_BusyConnections.begin())->m_Customer;
-      asio::co_spawn(Host.m_Io, probeInstance(Host, Id, Group->m_Name, Customer), asio::detached);
+      spawnTask(Host, "probe_instance", probeInstance(Host, Id, Group->m_Name, Customer),
+                [&Dispatch] { Dispatch.m_IsProbing = false; });
     }
   }
 }
--- a/src/line_gossip.cpp
+++ b/src/line_gossip.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/co_spawn.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace quetzalpaddle {
 
@@ -23,6 +24,8 @@
 
 // Size of the receive buffer; no UDP datagram is larger.
 constexpr size_t MaxDatagramBytes = 65536;
+// Times in a datagram are in microseconds since a start; larger values are damaged.
+constexpr uint64_t MaxMicros = uint64_t(1) << 53;
 // Randomly chosen hosts listed in each datagram, so that every host learns of every other one.
 constexpr size_t KnownHostsPerDatagram = 3;
 // A report that an instance is unreachable is forwarded for this long.
@@ -50,6 +53,13 @@
   return TimePoint(microseconds(static_cast<int64_t>(Micros)));
 }
 
+std::optional<Udp::endpoint> datagramEndpoint(const std::string &Address) {
+  auto Endpoint = parseEndpoint(Address);
+  if (!Endpoint)
+    return std::nullopt;
+  return Udp::endpoint(Endpoint->address(), Endpoint->port());
+}
+
 void addGroupUpdates(LineHost &Host, line::Gossip &Message, TimePoint Now) {
   for (const auto &[Name, Group] : Host.m_Groups) {
     line::GroupNews &Update = *Message.add_groups();
@@ -106,8 +116,25 @@
   Info.set_weight(static_cast<float>(Host.m_Weight));
 }
 
+// Returns whether the numbers of a datagram can be used. A datagram that was damaged on the way may
+// still be decodable.
+bool isPlausible(const line::Gossip &Message) {
+  auto IsFinite = [](double Value) { return std::isfinite(Value) && Value >= 0; };
+  return std::ranges::all_of(Message.uses(),
+                             [&](const line::CustomerUse &Usage) {
+                               return IsFinite(Usage.admitted()) && IsFinite(Usage.offered());
+                             }) &&
+         Message.sent_us() < MaxMicros && Message.echo_us() < MaxMicros &&
+         Message.echo_held_us() < MaxMicros &&
+         std::ranges::all_of(Message.groups(), [](const line::GroupNews &Update) {
+           return Update.proved_age_us() < MaxMicros;
+         });
+}
+
 void updateHost(LineHost &Host, const line::HostInfo &Info) {
-  if (Info.id().empty() || Info.id() == Host.m_Members.m_Self)
+  bool IsUsable = !Info.id().empty() && std::isfinite(Info.weight()) &&
+                  datagramEndpoint(Info.address()).has_value();
+  if (!IsUsable || Info.id() == Host.m_Members.m_Self)
     return;
   HostView &View = Host.m_Members.m_Hosts[Info.id()];
   if (View.m_Id.empty())
@@ -168,6 +195,10 @@
   const std::string &SenderId = Message.host().id();
   if (SenderId.empty() || SenderId == Host.m_Members.m_Self)
     return;
+  if (!isPlausible(Message)) {
+    countEvent(*Host.m_Metrics, "datagram_malformed");
+    return;
+  }
   updateHost(Host, Message.host());
   for (const line::HostInfo &Info : Message.known())
     updateHost(Host, Info);
@@ -223,13 +254,6 @@
   Host.m_GossipSocket->send_to(asio::buffer(Bytes), Destination, 0, IgnoredError);
 }
 
-std::optional<Udp::endpoint> datagramEndpoint(const std::string &Address) {
-  auto Endpoint = parseEndpoint(Address);
-  if (!Endpoint)
-    return std::nullopt;
-  return Udp::endpoint(Endpoint->address(), Endpoint->port());
-}
-
 // --- Sending ---
 
 void addCustomerUse(line::Gossip &Message, const std::string &Customer, const UsageReport &Report) {
--- a/src/line_host.h
+++ b/src/line_host.h
@@ -237,7 +237,7 @@
 // --- line_peer.cpp ---
 
 // Accepts links from other hosts.
-Awaitable<void> acceptPeers(LineHost &Host);
+Awaitable<void> acceptPeers(LineHost &Host, Tcp::acceptor &Acceptor);
 
 // Runs a statement through the host that dispatches to its instance. If Dispatcher is empty,
 // chooses that host and stores it there.
@@ -262,7 +262,7 @@
 
 // --- line_session.cpp ---
 
-Awaitable<void> acceptCallers(LineHost &Host);
+Awaitable<void> acceptCallers(LineHost &Host, Tcp::acceptor &Acceptor);
 
 // --- line_sync.cpp ---
 
@@ -278,6 +278,11 @@
 
 // --- line_serve.cpp ---
 
+// Spawns a task. If an unexpected error ends it, the error is logged and counted, and OnFailure is
+// called, if there is one: one malformed message must not end the process, which serves others.
+void spawnTask(LineHost &Host, std::string_view Name, Awaitable<void> Task,
+               std::function<void()> OnFailure = {});
+
 // Runs an entry host until a stop signal. Returns the exit status.
 int runEntry(const std::string &SettingsFile);
 
--- a/src/line_peer.cpp
+++ b/src/line_peer.cpp
@@ -6,13 +6,8 @@
 #include "line_exchange.h"
 #include "line_host.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 namespace quetzalpaddle {
 
-namespace asio = boost::asio;
-
 namespace {
 
 using line::Envelope;
@@ -83,9 +78,8 @@
     return;
   }
   if (Message.has_run())
-    asio::co_spawn(Host.m_Io,
-                   handleRunRequest(Host, Connection, LinkId, std::move(*Message.mutable_run())),
-                   asio::detached);
+    spawnTask(Host, "run_request",
+              handleRunRequest(Host, Connection, LinkId, std::move(*Message.mutable_run())));
   else if (Message.has_config_request())
     handleConfigRequest(Host, Connection, Message.config_request());
 }
@@ -151,7 +145,7 @@
       configureSocket(*Socket);
       Link.m_FrameConnection = std::make_shared<FrameConnection>(std::move(*Socket));
       Link.m_Address = Address;
-      asio::co_spawn(Host.m_Io, readLink(Host, Peer, Link.m_FrameConnection), asio::detached);
+      spawnTask(Host, "read_link", readLink(Host, Peer, Link.m_FrameConnection));
     }
   }
   if (!Link.m_FrameConnection)
@@ -175,7 +169,8 @@
   auto LinkWakeup = std::make_shared<Wakeup>(Host.m_Io);
   Link.m_LinkWaiters.push_back(LinkWakeup);
   if (!std::exchange(Link.m_IsConnecting, true))
-    asio::co_spawn(Host.m_Io, openLink(Host, Peer, HostIt->second.m_Address), asio::detached);
+    spawnTask(Host, "open_link", openLink(Host, Peer, HostIt->second.m_Address),
+              [&Link] { Link.m_IsConnecting = false; });
   co_await LinkWakeup->wait();
   co_return Host.m_Links[Peer].m_FrameConnection;
 }
@@ -206,14 +201,11 @@
 
 } // namespace
 
-Awaitable<void> acceptPeers(LineHost &Host) {
-  auto Endpoint = parseEndpoint(Host.m_Settings.m_PeerAddress + ":" +
-                                std::to_string(Host.m_Settings.m_PeerPort));
-  Tcp::acceptor Acceptor(Host.m_Io, *Endpoint);
+Awaitable<void> acceptPeers(LineHost &Host, Tcp::acceptor &Acceptor) {
   for (;;) {
     auto [Error, Socket] = co_await Acceptor.async_accept(AsTuple);
     if (!Error)
-      asio::co_spawn(Host.m_Io, serveLink(Host, std::move(Socket)), asio::detached);
+      spawnTask(Host, "serve_link", serveLink(Host, std::move(Socket)));
     else
       co_await sleepFor(Host.m_Io, Millis(50)); // most likely out of file descriptors
   }
@@ -265,7 +257,7 @@
     Request.set_instances_revision(LocalHost.m_Store.m_InstancesRevision);
     sendFrame(Connection, serialize(Message));
   };
-  asio::co_spawn(Host.m_Io, SendRequest(Host, Peer), asio::detached);
+  spawnTask(Host, "config_request", SendRequest(Host, Peer));
 }
 
 void closeSilentLinks(LineHost &Host, TimePoint Now) {
--- a/src/line_serve.cpp
+++ b/src/line_serve.cpp
@@ -42,6 +42,8 @@
 // After its start the host is not reported ready for this long, so that updates from other hosts
 // can arrive first.
 constexpr Millis StartupGracePeriod{300};
+// Delay before a task that failed with an unexpected error starts again.
+constexpr Millis TaskRestartDelay{100};
 
 // --- Settings ---
 
@@ -212,6 +214,11 @@
 
 // --- Life cycle ---
 
+void noteTaskFailure(LineHost &Host, std::string_view Name, const std::string &Why) {
+  logLine(LogLevel::Error, "task_failed", {{"task", std::string(Name)}, {"why", Why}});
+  countEvent(*Host.m_Metrics, "task_failed");
+}
+
 bool isReady(const LineHost &Host) {
   return Host.m_Config && !Host.m_IsDraining && Host.m_Store.m_InstancesRevision != 0 &&
          bootNow() - Host.m_StartedAt > StartupGracePeriod;
@@ -305,7 +312,7 @@
       co_return;
     if (SignalNumber != SIGHUP) {
       if (!Host.m_IsDraining)
-        asio::co_spawn(Host.m_Io, drain(Host), asio::detached);
+        spawnTask(Host, "drain", drain(Host), [&Host] { Host.m_Io.stop(); });
       continue;
     }
     auto NewSettings = readEntrySettings(File);
@@ -328,8 +335,66 @@
   Self.m_Weight = Host.m_Settings.m_Cores;
 }
 
+// Runs a task as long as the host. If an unexpected error ends it, it starts again.
+Awaitable<void> repeatTask(LineHost &Host, std::string Name,
+                           std::function<Awaitable<void>()> MakeTask) {
+  for (bool HasFailed = true; HasFailed;) {
+    try {
+      Awaitable<void> Task = MakeTask();
+      co_await std::move(Task);
+      HasFailed = false;
+    } catch (const std::exception &Error) {
+      noteTaskFailure(Host, Name, Error.what());
+    }
+    if (HasFailed)
+      co_await sleepFor(Host.m_Io, TaskRestartDelay);
+  }
+}
+
+void startTask(LineHost &Host, std::string Name, std::function<Awaitable<void>()> MakeTask) {
+  asio::co_spawn(Host.m_Io, repeatTask(Host, std::move(Name), std::move(MakeTask)), asio::detached);
+}
+
+// Runs the host's tasks and handlers. An exception that leaves a handler is logged.
+void runUntilStopped(LineHost &Host) {
+  while (!Host.m_Io.stopped()) {
+    try {
+      Host.m_Io.run();
+    } catch (const std::exception &Error) {
+      noteTaskFailure(Host, "handler", Error.what());
+    }
+  }
+}
+
+// Listens on an address. On failure it prints the error and returns nothing.
+std::optional<Tcp::acceptor> openAcceptor(asio::io_context &Io, const std::string &Address) {
+  try {
+    return Tcp::acceptor(Io, parseEndpoint(Address).value());
+  } catch (const std::exception &Error) {
+    fmt::print(stderr, "cannot listen on {}: {}\n", Address, Error.what());
+    return std::nullopt;
+  }
+}
+
 } // namespace
 
+void spawnTask(LineHost &Host, std::string_view Name, Awaitable<void> Task,
+               std::function<void()> OnFailure) {
+  asio::co_spawn(
+      Host.m_Io, std::move(Task),
+      [&Host, Name, OnFailure = std::move(OnFailure)](const std::exception_ptr &Failure) {
+        if (!Failure)
+          return;
+        try {
+          std::rethrow_exception(Failure);
+        } catch (const std::exception &Error) {
+          noteTaskFailure(Host, Name, Error.what());
+        }
+        if (OnFailure)
+          OnFailure();
+      });
+}
+
 int runEntry(const std::string &SettingsFile) {
   auto Settings = readEntrySettings(SettingsFile);
   if (!Settings)
@@ -375,22 +440,20 @@
           {{"dc", Settings->m_DataCentre},
            {"callers", Settings->m_CallerAddress},
            {"incarnation", std::to_string(Host.m_Incarnation)}});
-  auto Start = [&Io](Awaitable<void> Task) {
-    asio::co_spawn(Io, std::move(Task), [](const std::exception_ptr &Failure) {
-      if (Failure)
-        std::rethrow_exception(Failure);
-    });
-  };
-  Start(acceptCallers(Host));
-  Start(acceptPeers(Host));
-  Start(receiveGossip(Host));
-  Start(syncConfig(Host));
-  Start(syncInstances(Host));
-  Start(registerHost(Host));
-  Start(watchPrimaries(Host));
-  Start(runTicks(Host));
-  Start(handleSignals(Host, SettingsFile));
-  Io.run();
+  auto Callers = openAcceptor(Io, Settings->m_CallerAddress);
+  auto Peers = openAcceptor(Io, Host.m_Members.m_Hosts[Settings->m_Host].m_Address);
+  if (!Callers || !Peers)
+    return 1;
+  startTask(Host, "callers", [&] { return acceptCallers(Host, *Callers); });
+  startTask(Host, "peers", [&] { return acceptPeers(Host, *Peers); });
+  startTask(Host, "gossip", [&] { return receiveGossip(Host); });
+  startTask(Host, "config", [&] { return syncConfig(Host); });
+  startTask(Host, "instances", [&] { return syncInstances(Host); });
+  startTask(Host, "registration", [&] { return registerHost(Host); });
+  startTask(Host, "primaries", [&] { return watchPrimaries(Host); });
+  startTask(Host, "ticks", [&] { return runTicks(Host); });
+  startTask(Host, "signals", [&] { return handleSignals(Host, SettingsFile); });
+  runUntilStopped(Host);
   std::_Exit(0); // skips destructors: suspended coroutines still refer to the host
 }
 
--- a/src/line_session.cpp
+++ b/src/line_session.cpp
@@ -10,14 +10,10 @@
 
 #include "platform/line_codec.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
 namespace quetzalpaddle {
 
-namespace asio = boost::asio;
-
 namespace {
 
 using line::RunReply;
@@ -44,6 +40,15 @@
   std::string m_DecisionInputs;   // data behind the decision, with ages; for logs
 };
 
+// Counts one more until the end of its scope, also if an error ends it.
+struct CountGuard {
+  explicit CountGuard(size_t &Count) : m_Count(Count) { ++m_Count; }
+  ~CountGuard() { --m_Count; }
+  CountGuard(const CountGuard &) = delete;
+  CountGuard &operator=(const CountGuard &) = delete;
+  size_t &m_Count;
+};
+
 struct SessionTransaction {
   bool m_IsBegun = false; // the caller has begun it
   bool m_IsOpen = false;  // open at an instance
@@ -350,8 +355,7 @@
                  std::string Dispatcher) -> Awaitable<void> {
     co_await runAtDispatcher(LocalHost, std::move(AbandonRequest), Dispatcher);
   };
-  asio::co_spawn(Host.m_Io, Send(Host, std::move(Request), Transaction.m_Dispatcher),
-                 asio::detached);
+  spawnTask(Host, "abandon", Send(Host, std::move(Request), Transaction.m_Dispatcher));
 }
 
 Awaitable<CallerAnswer> runWithRetries(LineHost &Host, CallerSession &Session,
@@ -656,14 +660,24 @@
   co_return co_await readLine(Session.m_Transport, platform::MaxMessageBytes);
 }
 
+// Whether bytes have arrived that were not read yet.
+bool hasUnreadBytes(const CallerSession &Session) {
+  boost::system::error_code Error; // a failed socket has nothing to read
+  return Session.m_Transport.m_Socket.available(Error) > 0 && !Error;
+}
+
 bool isIdle(const CallerSession &Session) {
-  return Session.m_State.m_Transaction == TransactionState::None && !hasLine(Session.m_Transport);
+  return Session.m_State.m_Transaction == TransactionState::None && !hasLine(Session.m_Transport) &&
+         !hasUnreadBytes(Session);
 }
 
 Awaitable<void> serveStatements(LineHost &Host, CallerSession &Session, bool &IsStatementRunning) {
   while (!(Host.m_IsStopping && isIdle(Session))) {
     auto Line = co_await readMessage(Host, Session);
     if (!Line) {
+      // The read was cancelled because the host stops, and a request arrived just then.
+      if (Host.m_IsStopping && hasUnreadBytes(Session))
+        continue;
       if (Session.m_Transport.m_IsTooLong)
         co_await writeText(Session.m_Transport,
                            platform::formatError("MALFORMED", "message too long"));
@@ -677,9 +691,8 @@
     TimePoint StartedAt = bootNow();
     if (Stmt) {
       IsStatementRunning = true;
-      ++Host.m_RunningStatementCount;
+      CountGuard StatementGuard(Host.m_RunningStatementCount);
       Answer = co_await runStatement(Host, Session, *Stmt);
-      --Host.m_RunningStatementCount;
       reportAnswer(Host, Session, *Stmt, Answer, bootNow() - StartedAt);
     }
     bool IsWritten = co_await writeText(Session.m_Transport, formatAnswer(Session, Answer));
@@ -694,32 +707,28 @@
 Awaitable<void> serveCaller(LineHost &Host, Tcp::socket Socket) {
   configureSocket(Socket);
   CallerSession Session(std::move(Socket));
-  ++Host.m_SessionCount;
+  CountGuard SessionGuard(Host.m_SessionCount);
   bool IsStatementRunning = false;
-  // Closes the session if it is idle while the host stops; the caller then connects to another
-  // host.
-  auto CloseIfStopping = std::make_shared<std::function<void()>>();
-  uint64_t CheckId = 0;
-  *CloseIfStopping = [&, WeakCheck = std::weak_ptr(CloseIfStopping)] {
+  // Ends the session if it is idle while the host stops; the caller then connects to another host.
+  // The read is cancelled and the socket not closed: a read that has a request already completes
+  // with it, and the request is answered.
+  std::optional<ScopedDeadline> NextCheck;
+  std::function<void()> EndIfStopping = [&] {
+    boost::system::error_code IgnoredError; // the socket may be closed already
     if (Host.m_IsStopping && !IsStatementRunning && isIdle(Session))
-      closeSocket(Session.m_Transport.m_Socket);
-    else if (auto Check = WeakCheck.lock())
-      CheckId = addDeadline(Host.m_DeadlineQueue, bootNow() + Millis(500), *Check);
+      Session.m_Transport.m_Socket.cancel(IgnoredError);
+    NextCheck.emplace(Host.m_DeadlineQueue, bootNow() + Millis(500), EndIfStopping);
   };
-  (*CloseIfStopping)();
+  EndIfStopping();
   if (co_await connectCaller(Host, Session))
     co_await serveStatements(Host, Session, IsStatementRunning);
-  cancelDeadline(Host.m_DeadlineQueue, CheckId);
   abandonAtInstance(Host, Session.m_Transaction);
   closeSocket(Session.m_Transport.m_Socket);
-  --Host.m_SessionCount;
 }
 
 } // namespace
 
-Awaitable<void> acceptCallers(LineHost &Host) {
-  auto Endpoint = parseEndpoint(Host.m_Settings.m_CallerAddress);
-  Tcp::acceptor Acceptor(Host.m_Io, *Endpoint);
+Awaitable<void> acceptCallers(LineHost &Host, Tcp::acceptor &Acceptor) {
   for (;;) {
     auto [Error, Socket] = co_await Acceptor.async_accept(AsTuple);
     if (Error) {
@@ -727,7 +736,7 @@
       continue;
     }
     if (Host.m_SessionCount < MaxSessions)
-      asio::co_spawn(Host.m_Io, serveCaller(Host, std::move(Socket)), asio::detached);
+      spawnTask(Host, "serve_caller", serveCaller(Host, std::move(Socket)));
     else
       logLine(LogLevel::Warning, "session_refused", {{"sessions", std::to_string(MaxSessions)}});
   }
--- a/src/line_sync.cpp
+++ b/src/line_sync.cpp
@@ -110,6 +110,13 @@
     Group.m_SyncReplicas = GroupConfig.m_SyncReplicas;
     Group.m_MaxConnections = GroupConfig.m_MaxConnections;
   }
+  if (!NewConfig.m_MalformedParts.empty()) {
+    countEvent(*Host.m_Metrics, "config_part_malformed");
+    logLine(LogLevel::Error, "config_part_malformed",
+            {{"version", std::to_string(NewConfig.m_Version)},
+             {"parts", std::to_string(NewConfig.m_MalformedParts.size())},
+             {"first", NewConfig.m_MalformedParts.front()}});
+  }
   logLine(LogLevel::Info, "config_applied",
           {{"version", std::to_string(NewConfig.m_Version)},
            {"before", std::to_string(KnownVersion)},
@@ -142,6 +149,7 @@
 void applyInstance(LineHost &Host, const StoredObjectVersion &Object) {
   auto DecodeResult = platform::decodeInstance(Object.m_Payload);
   if (auto *DecodeError = std::get_if<std::string>(&DecodeResult)) {
+    countEvent(*Host.m_Metrics, "instance_malformed");
     logLine(LogLevel::Warning, "instance_malformed",
             {{"instance", Object.m_Name}, {"why", *DecodeError}});
     removeInstance(Host, Object.m_Name, "malformed");
@@ -272,6 +280,13 @@
     auto &Snapshot = std::get<StoreSnapshot>(Result);
     bool IsList = Revision == 0;
     Revision = Snapshot.m_Revision;
+    if (!Snapshot.m_MalformedEntries.empty()) {
+      countEvent(*Host.m_Metrics, "entry_malformed");
+      logLine(LogLevel::Warning, "entry_malformed",
+              {{"kind", Kind},
+               {"entries", std::to_string(Snapshot.m_MalformedEntries.size())},
+               {"first", Snapshot.m_MalformedEntries.front()}});
+    }
     if (IsList)
       ApplyList(std::move(Snapshot));
     else
@@ -350,8 +365,11 @@
   for (const StoredObjectVersion &Object : List->m_Objects) {
     auto DecodeResult = platform::decodeHost(Object.m_Payload);
     auto *View = std::get_if<HostView>(&DecodeResult);
-    if (!View)
+    if (!View) {
+      logLine(LogLevel::Warning, "host_malformed",
+              {{"peer", Object.m_Name}, {"why", std::get<std::string>(DecodeResult)}});
       continue;
+    }
     auto [HostIt, IsNew] = Host.m_Members.m_Hosts.try_emplace(View->m_Id, *View);
     IsPresent = IsPresent || (View->m_Id == Host.m_Members.m_Self &&
                               View->m_Address == HostIt->second.m_Address);
--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -12,9 +12,6 @@
 #include "platform/line_codec.h"
 #include "platform/store_client.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 namespace quetzalpaddle {
 
 namespace asio = boost::asio;
@@ -102,8 +99,8 @@
     co_return Round->m_Answers;
   for (const std::string &Id : Instances) {
     const LineInstance *Target = findInstance(Host, Id);
-    asio::co_spawn(Host.m_Io, RunOne(Host, Round, Target ? Target->m_Address : "", Group, Id, Text),
-                   asio::detached);
+    spawnTask(Host, "control_statement",
+              RunOne(Host, Round, Target ? Target->m_Address : "", Group, Id, Text));
   }
   co_await Round->m_Completion.wait();
   co_return Round->m_Answers;
@@ -442,7 +439,9 @@
     co_await sleepFor(Host.m_Io, CheckDelay);
     TimePoint Now = bootNow();
     for (auto &[Name, Group] : Host.m_Groups) {
-      if (Group.m_Instances.empty())
+      // An entry of another writer may name a group that no configuration does.
+      bool IsConfigured = Host.m_Config && Host.m_Config->m_Groups.contains(Name);
+      if (Group.m_Instances.empty() || !IsConfigured)
         continue;
       if (!isPromoter(Host, Name, Now)) {
         PromoterSince.erase(Name);
@@ -452,25 +451,26 @@
       Takeover &State = Host.m_Takeovers[Name];
       if (State.m_IsRunning || Now < State.m_NextAttemptAt)
         continue;
+      auto EndAttempt = [&State] { State.m_IsRunning = false; };
       TakeoverAction Action = assessPrimary(Group, State, Now, DefaultSettings);
       bool IsSettled = Now - EligibleSince > DutyAcquisitionDelay;
       if (Action == TakeoverAction::Probe &&
           Now - State.m_ProbedAt > DefaultSettings.m_ProbeTimeout / 2) {
         State.m_IsRunning = true;
         State.m_ProbedAt = Now;
-        asio::co_spawn(Host.m_Io, probePrimary(Host, Name), asio::detached);
+        spawnTask(Host, "probe_primary", probePrimary(Host, Name), EndAttempt);
       } else if (Action == TakeoverAction::Switchover || Action == TakeoverAction::Failover) {
         State.m_IsRunning = true;
-        asio::co_spawn(Host.m_Io, runTakeover(Host, Name, Action), asio::detached);
+        spawnTask(Host, "takeover", runTakeover(Host, Name, Action), EndAttempt);
       } else if (Action == TakeoverAction::Resume) {
         State.m_IsRunning = true;
-        asio::co_spawn(Host.m_Io, resumeAllReplicas(Host, Name), asio::detached);
+        spawnTask(Host, "resume_replicas", resumeAllReplicas(Host, Name), EndAttempt);
       } else if (Action == TakeoverAction::None) {
         State.m_UnreachableSince = {};
         if (IsSettled && State.m_Duty.m_Token == 0) {
           State.m_NextAttemptAt = Now + DutyAcquisitionDelay;
           State.m_IsRunning = true;
-          asio::co_spawn(Host.m_Io, resumeAllReplicas(Host, Name), asio::detached);
+          spawnTask(Host, "resume_replicas", resumeAllReplicas(Host, Name), EndAttempt);
         }
       }
     }
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -9,6 +9,7 @@
 #include "http_front.h"
 #include "operator.h"
 
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -20,6 +21,8 @@
 #include <csignal>
 #include <future>
 #include <thread>
+#include <utility>
+#include <vector>
 
 namespace quetzalpaddle {
 
@@ -46,7 +49,7 @@
   std::shared_ptr<OperatorServer> m_Operators;
   Phase m_Phase = Phase::Serving;
   TimePoint m_PhaseStartedAt{};
-  std::function<void()> m_OnDrained;
+  std::vector<std::function<void()>> m_OnDrained; // one for each call of drainHost()
   TimePoint m_GaugesUpdatedAt{};
   std::thread m_ControlThread;
 
@@ -85,7 +88,8 @@
     releaseSlots(ThisHost, [&Runtime] {
       enterPhase(Runtime, Phase::Stopped, Clock::now());
       logLine(LogLevel::Info, "drained", {});
-      Runtime.m_OnDrained();
+      for (const auto &Callback : std::exchange(Runtime.m_OnDrained, {}))
+        Callback();
     });
     return;
   }
@@ -235,12 +239,18 @@
 }
 
 void drainHost(RunningHost &Runtime, std::function<void()> Callback) {
-  asio::post(*Runtime.m_ControlIo, [&Runtime, Callback = std::move(Callback)]() mutable {
+  // Runs at once on the control thread, so that an operator whose drain was accepted sees a host
+  // that is draining.
+  asio::dispatch(*Runtime.m_ControlIo, [&Runtime, Callback = std::move(Callback)]() mutable {
+    if (Runtime.m_Phase == Phase::Stopped) {
+      Callback();
+      return;
+    }
+    Runtime.m_OnDrained.push_back(std::move(Callback));
     if (Runtime.m_Phase != Phase::Serving)
       return;
     logLine(LogLevel::Info, "draining", {});
     Runtime.m_Host.m_IsDraining = true;
-    Runtime.m_OnDrained = std::move(Callback);
     beginDrain(*Runtime.m_Front, Runtime.m_Host.m_Settings.m_Drain.m_NoticeDuration);
     enterPhase(Runtime, Phase::Notice, Clock::now());
   });
--- a/src/serve.h
+++ b/src/serve.h
@@ -21,7 +21,8 @@
 
 // Starts a graceful shutdown (drain). Callback is called once, on the control thread, when no
 // request is in progress and no connection is open, or the drain limit has passed, and the rate
-// slots are released. During a shutdown, a call does nothing and its Callback is not called.
+// slots are released. A call during a shutdown only adds its Callback; after it, Callback is called
+// at once. On the control thread the host is draining when the call returns.
 void drainHost(RunningHost &Runtime, std::function<void()> Callback);
 
 // Returns the control state as JSON text.
--- a/tests/system_test.cpp
+++ b/tests/system_test.cpp
@@ -5,6 +5,7 @@
 
 #include <criterion/criterion.h>
 
+#include <array>
 #include <future>
 #include <thread>
 
@@ -149,3 +150,24 @@
               Result.m_Message.c_str());
   }
 }
+
+// Guards against a second order to stop that is never answered, and against one that comes after
+// the host has stopped.
+Test(system, everyOrderToStopIsAnswered, .timeout = 60) {
+  SystemOptions Options;
+  Options.m_Settings.m_Drain.m_NoticeDuration = Millis(50);
+  auto System = startSystem(Options);
+  cr_assert(System);
+  RunningHost &Running = *System->m_Hosts[0].m_Running;
+  std::array<std::promise<void>, 3> Ends;
+  auto Drain = [&](size_t Index) {
+    drainHost(Running, [&Ends, Index] { Ends[Index].set_value(); });
+  };
+  Drain(0);
+  Drain(1);
+  Ends[0].get_future().wait();
+  cr_assert(Ends[1].get_future().wait_for(std::chrono::seconds(5)) == std::future_status::ready);
+  Drain(2);
+  cr_assert(Ends[2].get_future().wait_for(std::chrono::seconds(5)) == std::future_status::ready);
+  killHost(*System, 0);
+}
