--- a/src/hubs.h
+++ b/src/hubs.h
@@ -1,5 +1,5 @@
-// Hubs: in a large fleet, a few hosts of each data centre dispatch to the instances and exchange
-// updates with each other; every other host (a leaf) reports to one hub, its home hub. Implemented
+// Hubs: a few hosts of each data centre dispatch to the instances and exchange updates with each
+// other; every other host (a leaf) reports to one hub, its home hub. Implemented
 // in membership.cpp. Free of I/O, threads and clock reads.
 #pragma once
 
@@ -8,8 +8,6 @@
 namespace quetzalpaddle {
 
 struct HubSettings {
-  // Up to this many hosts, all of them are hubs: 20 datagrams per host and interval are cheap.
-  uint32_t m_MaxFullMeshHosts = 20;
   // Two, so that one may fail.
   uint32_t m_MinHubsPerDataCentre = 2;
   // A data centre with many instances gets one hub for each this many.
@@ -18,6 +16,8 @@
   // partition, only move its work to the other hubs: the next host may have a fraction of a hub's
   // processing power, and the two sides of a partition would choose different hubs.
   Millis m_ReplaceAfter{20000};
+  // Hubs of each data centre that watch the store. The others hear of changes from them.
+  uint32_t m_WatchersPerDataCentre = 2;
   // A leaf that last saw its home hub two report intervals ago reports to all hubs, since it knows
   // about the others only from its home hub.
   Millis m_HomeTimeout{450};
@@ -34,10 +34,9 @@
   std::string m_HomeHub;     // of a leaf; empty if no hub is usable
 };
 
-// Chooses all hosts of a fleet of up to m_MaxFullMeshHosts; otherwise the hosts with the highest
-// weights in each data centre, among those that are not leaving and were seen within
-// m_ReplaceAfter, or were never seen and never failed. Instances: number of instances by data
-// centre. Hosts that see the same hosts choose the same hubs.
+// Chooses the hosts with the highest weights in each data centre, among those that are not leaving
+// and were seen within m_ReplaceAfter, or were never seen and never failed. Instances: number of
+// instances by data centre. Hosts that see the same hosts choose the same hubs.
 std::set<std::string> chooseHubs(const Membership &Members,
                                  const std::map<std::string, size_t> &Instances, TimePoint Now,
                                  const HubSettings &HubConfig);
@@ -62,4 +61,10 @@
 std::set<std::string> chooseReportTargets(const Membership &Members, const HubRoles &Roles,
                                           TimePoint Now, const HubSettings &HubConfig);
 
+// Whether this host, a hub, watches the store: fewer than m_WatchersPerDataCentre hubs of its data
+// centre that come before it are usable and reach the store. WithoutStore: hosts that do not.
+bool isWatcher(const Membership &Members, const HubRoles &Roles,
+               const std::set<std::string> &WithoutStore, TimePoint Now,
+               const MembershipSettings &Settings, const HubSettings &HubConfig);
+
 } // namespace quetzalpaddle
--- a/src/line_dispatch.cpp
+++ b/src/line_dispatch.cpp
@@ -287,6 +287,20 @@
   co_return Reason::NoMajority;
 }
 
+// Records the position that an answer shows. The dispatcher sees the answers to the callers of all
+// hosts, so its updates on the instance are the newest.
+void noteShownPosition(LineHost &Host, const std::string &Instance, const RunReply &Reply,
+                       TimePoint SentAt) {
+  LineGroup *Group = findGroupOf(Host, Instance);
+  Position ShownPosition{Reply.position().term(), Reply.position().index()};
+  if (!Group || !Reply.error_code().empty() || ShownPosition == Position{})
+    return;
+  LineInstance &State = Group->m_Instances[Instance];
+  State.m_AppliedPosition = std::max(State.m_AppliedPosition, ShownPosition);
+  if (Reply.leads() && Group->m_Primary == Instance)
+    addConfirmedPosition(Group->m_History, {ShownPosition, SentAt}, bootNow());
+}
+
 // Runs the statement within the time limit of the request; the connection is closed if no answer
 // arrives by then.
 Awaitable<RunReply> runWithTimeLimit(LineHost &Host,
@@ -302,9 +316,10 @@
   RunReply Reply = co_await runOnConnection(Connection, Request);
   Dispatch.m_BusyConnections.erase(Connection);
   Dispatch.m_WriteGate.m_InProgressCount -= Request.write() ? 1 : 0;
-  if (Reply.outcome() == RunReply::ANSWERED)
+  if (Reply.outcome() == RunReply::ANSWERED) {
     markReachable(Request.instance(), Dispatch);
-  else
+    noteShownPosition(Host, Request.instance(), Reply, Connection->m_SentAt);
+  } else
     logLine(LogLevel::Info, "answer_missing",
             {{"id", Request.statement_id()},
              {"instance", Request.instance()},
@@ -527,7 +542,7 @@
     const LineInstance *Target = findInstance(Host, Id);
     bool IsUnused = !Dispatch.m_IdleConnections.empty() &&
                     Now - Dispatch.m_IdleConnections.front()->m_LastUsedAt > RetireDelay;
-    if (!IsUnused || (Target && findDispatcher(Host, *Target, {}) == Host.m_Members.m_Self))
+    if (!IsUnused || (Target && findDispatcher(Host, *Target, {}, Now) == Host.m_Members.m_Self))
       continue;
     logLine(LogLevel::Info, "dispatch_retired",
             {{"instance", Id}, {"closed", std::to_string(Dispatch.m_IdleConnections.size())}});
--- a/src/line_host.h
+++ b/src/line_host.h
@@ -4,7 +4,7 @@
 // Index of this file:
 // [SECTION] Settings
 // [SECTION] Dispatcher of an instance (line_dispatch.cpp)
-// [SECTION] Other hosts (line_peer.cpp, line_gossip.cpp)
+// [SECTION] Other hosts (line_peer.cpp, line_gossip.cpp, line_updates.cpp)
 // [SECTION] Callers' sessions (line_session.cpp)
 // [SECTION] Platform's store (line_sync.cpp)
 // [SECTION] Promotions (line_takeover.cpp)
@@ -24,6 +24,7 @@
 
 #include "line.pb.h"
 
+#include <array>
 #include <list>
 #include <memory>
 #include <set>
@@ -119,7 +120,7 @@
 };
 
 //-----------------------------------------------------------------------------
-// [SECTION] Other hosts (line_peer.cpp, line_gossip.cpp)
+// [SECTION] Other hosts (line_peer.cpp, line_gossip.cpp, line_updates.cpp)
 //-----------------------------------------------------------------------------
 
 // A call to another host that waits for its reply.
@@ -141,6 +142,9 @@
 // Gossip state of another host, in addition to its HostView.
 struct PeerGossipState {
   TimePoint m_LastStoreAnswerAt{};   // when the store last answered that host
+  bool m_IsWithoutStore = false;     // its calls to the store fail
+  TimePoint m_LastHubReportAt{};     // when it last reported to this host as a hub
+  bool m_ReadsCompactUsage = false;  // understands CompactUsage
   TimePoint m_LastLeafReportAt{};    // when it last reported to this host as its leaf
   uint64_t m_LastDatagramSentUs = 0; // sending time of its last datagram, on its own clock
   TimePoint m_LastSeenAt{};          // arrival of that datagram, on this host's clock
@@ -148,6 +152,48 @@
   uint64_t m_InstancesRevision = 0;
 };
 
+// State of a group as last sent in an update.
+struct SentGroup {
+  std::string m_Primary;
+  uint64_t m_Generation = 0;
+  uint64_t m_PendingGeneration = 0;
+  bool m_WritesStalled = false;
+  TimePoint m_ChangedAt{}; // when an update first contained this state
+};
+
+// State of an instance as last sent in an update.
+struct SentInstance {
+  Duration m_Wait{};
+  bool m_IsUnreachable = false;
+  TimePoint m_ChangedAt{}; // last change that was worth an update
+};
+
+// What this host has told the others, from which it knows what has changed since.
+struct SentUpdates {
+  TimePoint m_LastFullAt{};
+  size_t m_FullCount = 0;
+  std::map<std::string, SentGroup> m_Groups;               // by group
+  std::map<std::string, SentInstance> m_InstancesToHubs;   // by instance
+  std::map<std::string, SentInstance> m_InstancesToLeaves; // by instance
+  std::map<std::string, double> m_AdmittedCounts;   // by customer, of this host and its leaves
+  std::map<std::string, double> m_FleetCounts;      // by customer, of the fleet
+  std::map<std::string, TimePoint> m_HostsLearntAt; // hosts that became known lately
+};
+
+// An update to another host, serialized.
+struct OutgoingUpdate {
+  std::string m_Host;
+  std::string m_Bytes;
+};
+
+enum class SentKind { Update, Statement, Reply, Data }; // Data: configuration and instances
+
+// Bytes sent to other hosts, without the headers of the network.
+struct SentBytes {
+  uint64_t m_ToOwnDataCentre = 0;
+  uint64_t m_ToOtherDataCentres = 0;
+};
+
 //-----------------------------------------------------------------------------
 // [SECTION] Platform's store (line_sync.cpp)
 //-----------------------------------------------------------------------------
@@ -195,6 +241,8 @@
   std::map<std::string, PeerLink> m_Links;               // by host
   std::map<std::string, PeerGossipState> m_GossipStates; // by host
   std::shared_ptr<Udp::socket> m_GossipSocket;
+  SentUpdates m_SentUpdates;
+  std::array<SentBytes, 4> m_SentBytes; // by SentKind
 
   std::map<std::string, InstanceDispatch> m_Dispatches; // by instance
   std::map<TransactionKey, PinnedTransaction> m_Transactions;
@@ -247,7 +295,7 @@
 // Returns the host that dispatches to an instance, or an empty string if none is usable.
 // SkippedHosts: hosts that were tried already.
 std::string findDispatcher(const LineHost &Host, const LineInstance &Target,
-                           const std::set<std::string> &SkippedHosts);
+                           const std::set<std::string> &SkippedHosts, TimePoint Now);
 
 // Closes the links to hosts from which no message has arrived lately.
 void closeSilentLinks(LineHost &Host, TimePoint Now);
@@ -258,8 +306,26 @@
 // --- line_gossip.cpp ---
 
 Awaitable<void> receiveGossip(LineHost &Host);
+// Sends the updates that are due.
 void sendGossip(LineHost &Host, TimePoint Now);
 
+// Counts bytes that are sent to another host.
+void countSentBytes(LineHost &Host, SentKind Kind, const std::string &Receiver, size_t Size);
+
+// --- line_updates.cpp ---
+
+// Chooses the hubs and the role of this host anew.
+void refreshHubs(LineHost &Host, TimePoint Now);
+
+// Returns the updates to all hosts that this one reports to, as a hub also to its leaves.
+std::vector<OutgoingUpdate> buildUpdates(LineHost &Host, TimePoint Now);
+// Returns an update that introduces this host to one that may not know it.
+std::string buildUpdateToSeeds(LineHost &Host, TimePoint Now);
+
+// Applies an update of another host. Returns that host if it should be asked for its configuration
+// and list of instances, otherwise an empty string.
+std::string applyUpdate(LineHost &Host, std::string_view Bytes, TimePoint Now);
+
 // --- line_session.cpp ---
 
 Awaitable<void> acceptCallers(LineHost &Host, Tcp::acceptor &Acceptor);
--- a/src/line_peer.cpp
+++ b/src/line_peer.cpp
@@ -44,17 +44,30 @@
 
 // --- Accepted links ---
 
+// Returns the host with an IP address; an empty string if it is not known.
+std::string findHostByIp(const LineHost &Host, const Tcp::socket &Socket) {
+  boost::system::error_code Error; // a socket that is closed already has no address
+  std::string Ip = Socket.remote_endpoint(Error).address().to_string() + ":";
+  auto It = std::ranges::find_if(Host.m_Members.m_Hosts, [&](const auto &Entry) {
+    return Entry.second.m_Address.starts_with(Ip);
+  });
+  return Error || It == Host.m_Members.m_Hosts.end() ? std::string() : It->first;
+}
+
 Awaitable<void> handleRunRequest(LineHost &Host, std::shared_ptr<FrameConnection> Connection,
-                                 uint64_t LinkId, RunRequest Request) {
+                                 uint64_t LinkId, std::string Peer, RunRequest Request) {
   bool IsAbandon = Request.mode() == RunRequest::ABANDON;
   Envelope Message;
   *Message.mutable_reply() = co_await runAtInstance(Host, std::move(Request), LinkId);
-  if (!IsAbandon)
-    sendFrame(Connection, serialize(Message));
+  if (IsAbandon)
+    co_return;
+  std::string Bytes = serialize(Message);
+  countSentBytes(Host, SentKind::Reply, Peer, Bytes.size());
+  sendFrame(Connection, Bytes);
 }
 
 void handleConfigRequest(LineHost &Host, const std::shared_ptr<FrameConnection> &Connection,
-                         const line::ConfigRequest &Request) {
+                         const std::string &Peer, const line::ConfigRequest &Request) {
   Envelope Message;
   line::ConfigReply &Reply = *Message.mutable_config_reply();
   if (Host.m_Config && Host.m_Config->m_Version > Request.version()) {
@@ -66,11 +79,13 @@
     for (const auto &[Name, Payload] : Host.m_Store.m_InstancePayloads)
       Reply.add_instances(Payload);
   }
-  sendFrame(Connection, serialize(Message));
+  std::string Bytes = serialize(Message);
+  countSentBytes(Host, SentKind::Data, Peer, Bytes.size());
+  sendFrame(Connection, Bytes);
 }
 
 void handleFrame(LineHost &Host, const std::shared_ptr<FrameConnection> &Connection,
-                 uint64_t LinkId, std::string_view Bytes) {
+                 uint64_t LinkId, const std::string &Peer, std::string_view Bytes) {
   Envelope Message;
   if (!Message.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size()))) {
     logLine(LogLevel::Error, "peer_message_malformed", {{"bytes", std::to_string(Bytes.size())}});
@@ -79,9 +94,9 @@
   }
   if (Message.has_run())
     spawnTask(Host, "run_request",
-              handleRunRequest(Host, Connection, LinkId, std::move(*Message.mutable_run())));
+              handleRunRequest(Host, Connection, LinkId, Peer, std::move(*Message.mutable_run())));
   else if (Message.has_config_request())
-    handleConfigRequest(Host, Connection, Message.config_request());
+    handleConfigRequest(Host, Connection, Peer, Message.config_request());
 }
 
 Awaitable<void> serveLink(LineHost &Host, Tcp::socket Socket) {
@@ -91,9 +106,10 @@
   Host.m_InboundLinks.insert(LinkId);
   // A named variable, because g++ 12 destroys the captures of a lambda twice if it is an argument
   // of an awaited call.
-  std::function<void(std::string_view)> Handle = [&Host, &Connection,
+  std::string Peer = findHostByIp(Host, Connection->m_Socket);
+  std::function<void(std::string_view)> Handle = [&Host, &Connection, &Peer,
                                                   LinkId](std::string_view Bytes) {
-    handleFrame(Host, Connection, LinkId, Bytes);
+    handleFrame(Host, Connection, LinkId, Peer, Bytes);
   };
   co_await readFrames(Connection, Handle);
   Host.m_InboundLinks.erase(LinkId);
@@ -186,7 +202,9 @@
   bool IsAbandon = Request.mode() == RunRequest::ABANDON;
   Envelope Message;
   *Message.mutable_run() = std::move(Request);
-  sendFrame(Connection, serialize(Message));
+  std::string Bytes = serialize(Message);
+  countSentBytes(Host, SentKind::Statement, Peer, Bytes.size());
+  sendFrame(Connection, Bytes);
   if (IsAbandon)
     co_return RunReply();
   auto CallState = std::make_shared<PendingCall>(Host.m_Io);
@@ -212,11 +230,11 @@
 }
 
 std::string findDispatcher(const LineHost &Host, const LineInstance &Target,
-                           const std::set<std::string> &SkippedHosts) {
+                           const std::set<std::string> &SkippedHosts, TimePoint Now) {
   Instance InstanceKey;
   InstanceKey.m_Id = Target.m_Id;
   InstanceKey.m_DataCentre = Target.m_DataCentre;
-  return chooseHubDispatcher(Host.m_Members, Host.m_Roles, InstanceKey, SkippedHosts, bootNow(),
+  return chooseHubDispatcher(Host.m_Members, Host.m_Roles, InstanceKey, SkippedHosts, Now,
                              Host.m_MembershipSettings);
 }
 
@@ -230,7 +248,7 @@
       const LineInstance *Target = findInstance(Host, Request.instance());
       if (!Target)
         co_return makeFailureReply(RunReply::NOT_SENT, Reason::InstanceUnavailable);
-      Dispatcher = findDispatcher(Host, *Target, SkippedHosts);
+      Dispatcher = findDispatcher(Host, *Target, SkippedHosts, bootNow());
       if (Dispatcher.empty())
         co_return Reply;
     }
--- a/src/line_serve.cpp
+++ b/src/line_serve.cpp
@@ -25,7 +25,7 @@
 // Interval of checks of deadlines and queues.
 constexpr Millis TickInterval{20};
 constexpr Millis IdleTickInterval{50}; // while no statement is queued or in progress
-// Interval of gossip to the hubs, and from them to their leaves.
+// Interval of updates to the hubs, and from them to their leaves.
 constexpr Millis GossipInterval{200};
 // Interval of the selection of hubs.
 constexpr Millis HubSelectionInterval{100};
@@ -172,6 +172,14 @@
     setGauge(HostMetrics, "instance_connections", Id, Dispatch.m_ConnectionCount);
     setGauge(HostMetrics, "instance_queue", Id, Dispatch.m_Queue.m_QueuedCount);
   }
+  constexpr std::array KindNames = {"update", "statement", "reply", "data"};
+  for (size_t Kind = 0; Kind < KindNames.size(); ++Kind) {
+    const SentBytes &Bytes = Host.m_SentBytes[Kind];
+    setGauge(HostMetrics, "sent_bytes_near", KindNames[Kind],
+             static_cast<double>(Bytes.m_ToOwnDataCentre));
+    setGauge(HostMetrics, "sent_bytes_far", KindNames[Kind],
+             static_cast<double>(Bytes.m_ToOtherDataCentres));
+  }
   for (const auto &[Name, State] : Host.m_Takeovers)
     setGauge(HostMetrics, "promotion_token", Name, static_cast<double>(State.m_Duty.m_Token));
 }
@@ -224,24 +232,6 @@
          bootNow() - Host.m_StartedAt > StartupGracePeriod;
 }
 
-void refreshHubs(LineHost &Host, TimePoint Now) {
-  std::map<std::string, size_t> InstanceCounts;
-  for (const auto &[Name, Group] : Host.m_Groups)
-    for (const auto &[Id, Instance] : Group.m_Instances)
-      InstanceCounts[Instance.m_DataCentre] += Instance.m_IsListed ? 1 : 0;
-  HubRoles NextRoles = assignHubs(Host.m_Members, InstanceCounts, Now, Host.m_MembershipSettings,
-                                  Host.m_HubSettings);
-  const HubRoles &LastRoles = Host.m_Roles;
-  if (NextRoles.m_IsHub != LastRoles.m_IsHub || NextRoles.m_IsIsolated != LastRoles.m_IsIsolated ||
-      NextRoles.m_HomeHub != LastRoles.m_HomeHub)
-    logLine(LogLevel::Info, "hub_duty",
-            {{"hub", NextRoles.m_IsHub ? "yes" : "no"},
-             {"isolated", NextRoles.m_IsIsolated ? "yes" : "no"},
-             {"home", NextRoles.m_HomeHub},
-             {"hubs", std::to_string(NextRoles.m_Hubs.size())}});
-  Host.m_Roles = std::move(NextRoles);
-}
-
 // Returns whether any statement is queued or in progress, which calls for short ticks.
 bool hasPendingStatements(const LineHost &Host) {
   return std::ranges::any_of(Host.m_Dispatches, [](const auto &Entry) {
--- a/src/line_sync.cpp
+++ b/src/line_sync.cpp
@@ -28,15 +28,18 @@
 // progress can finish.
 constexpr Millis LeavingMargin{3500};
 // After its start a host waits up to this long for updates from others, unless it has read the host
-// list and is a relay or hub.
+// list and is a watcher.
 constexpr Millis StartupWait{1500};
+// Without the host list every host of a starting fleet would take itself for the only one and watch
+// the store. After this time it does.
+constexpr Millis HostListWait{4000};
 // Interval of the check whether this host has to watch the store.
 constexpr Millis WatchCheckInterval{200};
 // Exponential back-off after a failed call, with jitter over its upper half.
 constexpr Millis MinRetryDelay{100};
 constexpr Millis MaxRetryDelay{1000};
-// Maximum for hosts that watch only because no other host does: the relays are the first to notice
-// that the store is available again.
+// Maximum for hosts that watch only because no other host does: the watchers are the first to
+// notice that the store is available again.
 constexpr Millis MaxFallbackRetryDelay{4000};
 // Instances whose entries expired while the store was unavailable register anew within 2 s of its
 // return. Missing entries are removed only after this time.
@@ -44,14 +47,17 @@
 // A withdrawn key is remembered for this long, which is longer than any transaction.
 constexpr std::chrono::minutes WithdrawnKeyRetention{2};
 
-bool isRelayOrHub(const LineHost &Host) {
-  return Host.m_Members.m_Hosts.size() > Host.m_HubSettings.m_MaxFullMeshHosts
-             ? Host.m_Roles.m_IsHub
-             : isRelay(Host.m_Members, bootNow(), Host.m_MembershipSettings);
+bool isOwnWatcher(const LineHost &Host) {
+  std::set<std::string> WithoutStore;
+  for (const auto &[Id, Peer] : Host.m_GossipStates)
+    if (Peer.m_IsWithoutStore)
+      WithoutStore.insert(Id);
+  return isWatcher(Host.m_Members, Host.m_Roles, WithoutStore, bootNow(), Host.m_MembershipSettings,
+                   Host.m_HubSettings);
 }
 
 Duration nextRetryDelay(LineHost &Host, Duration &RetryDelay) {
-  Duration MaxDelay = isRelayOrHub(Host) ? MaxRetryDelay : MaxFallbackRetryDelay;
+  Duration MaxDelay = isOwnWatcher(Host) ? MaxRetryDelay : MaxFallbackRetryDelay;
   RetryDelay = std::clamp<Duration>(RetryDelay * 2, MinRetryDelay, MaxDelay);
   return RetryDelay / 2 + Duration(Host.m_Random() % (RetryDelay.count() / 2));
 }
@@ -234,10 +240,11 @@
 
 bool shouldWatchStore(const LineHost &Host) {
   TimePoint Now = bootNow();
-  bool IsStarting = Now - Host.m_StartedAt < StartupWait;
-  if (IsStarting && (!Host.m_Store.m_HasHostList || !isRelayOrHub(Host)))
+  bool IsStarting =
+      Now - Host.m_StartedAt < (Host.m_Store.m_HasHostList ? StartupWait : HostListWait);
+  if (IsStarting && (!Host.m_Store.m_HasHostList || !isOwnWatcher(Host)))
     return false;
-  return isRelayOrHub(Host) || std::ranges::none_of(Host.m_GossipStates, [&](const auto &Entry) {
+  return isOwnWatcher(Host) || std::ranges::none_of(Host.m_GossipStates, [&](const auto &Entry) {
            return Now - Entry.second.m_LastStoreAnswerAt < MaxStoreAnswerAge &&
                   Now - Entry.second.m_LastSeenAt < Host.m_MembershipSettings.m_LastSeenTimeout;
          });
@@ -353,11 +360,12 @@
   co_await followObjects(Host, platform::InstanceKind, ApplyList, ApplyChanges);
 }
 
-// Reads the list of hosts from the store and adds the new ones. Returns whether this host is in it,
-// or nothing if the store does not answer.
-Awaitable<std::optional<bool>> listHosts(LineHost &Host, Freshness RequiredFreshness) {
+// Reads the list of hosts from the store and adds the new ones. The list may be seconds old: it
+// introduces this host to some others, from whose updates it learns the rest. Returns whether this
+// host is in it, or nothing if the store does not answer.
+Awaitable<std::optional<bool>> listHosts(LineHost &Host) {
   auto Result =
-      co_await platform::listObjects(Host.m_StoreClient, platform::HostKind, RequiredFreshness);
+      co_await platform::listObjects(Host.m_StoreClient, platform::HostKind, Freshness::AllowStale);
   auto *List = std::get_if<StoreSnapshot>(&Result);
   if (!List)
     co_return std::nullopt;
@@ -379,9 +387,9 @@
 
 Awaitable<void> registerHost(LineHost &Host) {
   // After a restart the object of the earlier process is still in the store, with the same content.
-  auto IsListed = co_await listHosts(Host, Freshness::AllowStale);
+  auto IsListed = co_await listHosts(Host);
   Host.m_Store.m_IsRegistered = IsListed.value_or(false);
-  Host.m_Store.m_HasHostList = Host.m_Store.m_IsRegistered;
+  Host.m_Store.m_HasHostList = Host.m_Store.m_IsRegistered || Host.m_Members.m_Hosts.size() > 1;
   Duration RetryDelay{};
   while (!Host.m_Store.m_IsRegistered) {
     const HostView &Self = Host.m_Members.m_Hosts[Host.m_Members.m_Self];
@@ -392,12 +400,12 @@
     if (!Host.m_Store.m_IsRegistered)
       co_await sleepFor(Host.m_Io, nextRetryDelay(Host, RetryDelay));
   }
-  RetryDelay = Duration::zero();
+  // While a whole fleet starts, the first lists are empty. One that contains this host contains all
+  // that registered before it.
+  RetryDelay = MaxRetryDelay / 2;
   while (!Host.m_Store.m_HasHostList) {
-    auto ListResult = co_await listHosts(Host, Freshness::Newest);
-    Host.m_Store.m_HasHostList = ListResult.has_value();
-    if (!ListResult)
-      co_await sleepFor(Host.m_Io, nextRetryDelay(Host, RetryDelay));
+    co_await sleepFor(Host.m_Io, nextRetryDelay(Host, RetryDelay));
+    Host.m_Store.m_HasHostList = (co_await listHosts(Host)).value_or(false);
   }
   logLine(LogLevel::Info, "host_registered",
           {{"hosts", std::to_string(Host.m_Members.m_Hosts.size())}});
--- /dev/null
+++ b/src/line_updates.cpp
@@ -0,0 +1,679 @@
+// What updates between hosts contain and how they are applied: identity of hosts, version of the
+// configuration, positions of primaries, queues of instances, and requests admitted for each
+// customer. Free of I/O and clock reads.
+//
+// A hub exchanges updates with all other hubs, a leaf with its home hub only. Updates are sent at a
+// short interval, which shows that the host is alive, but contain little: what only this host can
+// tell (positions of the primaries and queues of the instances that it dispatches to, duties that
+// it holds, usage of its callers) and what has changed. A full update at a longer interval makes up
+// for lost datagrams. The traffic between data centres thus grows with the work and with the number
+// of hubs, not with the number of hosts, groups and customers.
+//
+// Ages are transferred without comparing the clocks of two hosts. An update echoes the last time
+// stamp that the sender received from the receiver, and how long ago it arrived. Something that the
+// sender observed at a time A after that arrival cannot have happened earlier, on the receiver's
+// clock, than the stamp plus A. The receiver assumes this earliest time, so a delayed datagram
+// never makes an update look fresher than it is.
+#include "line_host.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace quetzalpaddle {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+
+// Interval of full updates.
+constexpr Millis FullUpdateInterval{1000};
+// A group of which this host knows nothing of its own is repeated in one of this many full updates.
+constexpr size_t FullUpdatesPerGroup = 3;
+// A change is repeated for this long: a few updates, since any of them may be lost.
+constexpr Millis ChangeRepeatTime{500};
+// A host that was learnt less than this long ago is passed on.
+constexpr Millis NewHostTime{2000};
+// Hosts listed in an update: recently learnt ones, and, in a full one, randomly chosen ones, so
+// that every host learns of every other one.
+constexpr size_t MaxNewHosts = 4;
+constexpr size_t RandomHostsPerUpdate = 6;
+// A dispatcher reports on an instance in every update while it has been used within this time.
+constexpr Millis DispatchActiveTime{1000};
+// Changes of an instance's expected wait below this are left to the full updates.
+constexpr Millis MinReportedWait{2};
+// A customer with fewer arriving requests per second, and none admitted since the last update, is
+// left out.
+constexpr double MinOfferedRate = 0.05;
+// Unit and limit of the rates in CompactUsage.
+constexpr double CompactRateUnitsPerRequest = 100;
+constexpr double MaxOfferedRate = 1e7;
+// Times in an update are in microseconds since a start; larger values are damaged.
+constexpr uint64_t MaxMicros = uint64_t(1) << 53;
+// A report that an instance is unreachable is forwarded for this long.
+constexpr Millis UnreachableReportTimeout{1000};
+// A report that writes stall expires after this long unless it is renewed.
+constexpr Millis StallReportTimeout{400};
+// A leaf that has not reported for this long is assumed to have another home hub.
+constexpr Millis LeafTimeout{1500};
+// Minimum time between requests for a newer configuration or list of instances.
+constexpr Millis ConfigRequestInterval{250};
+// A host of another data centre is asked only after this delay, to give one of the own data centre
+// the chance to answer first: traffic between data centres is expensive.
+constexpr Millis RemoteRequestDelay{350};
+// Another host is asked for the list of instances only if this host's own watch of the store has
+// not delivered it for this long.
+constexpr Millis InstancesRequestDelay{400};
+
+uint64_t toMicros(TimePoint At) {
+  return static_cast<uint64_t>(duration_cast<microseconds>(At.time_since_epoch()).count());
+}
+
+TimePoint fromMicros(uint64_t Micros) {
+  return TimePoint(microseconds(static_cast<int64_t>(Micros)));
+}
+
+uint32_t toMicros(Duration D) {
+  return static_cast<uint32_t>(duration_cast<microseconds>(D).count());
+}
+
+// --- Building ---
+
+// The update that is being built.
+struct Draft {
+  TimePoint m_Now{};
+  bool m_IsFull = false;
+  bool m_IsForLeaves = false;
+};
+
+bool isActive(const InstanceDispatch &Dispatch, TimePoint Now) {
+  return Now - Dispatch.m_LastAnswerAt < DispatchActiveTime ||
+         Now - Dispatch.m_LastFailureAt < DispatchActiveTime ||
+         Dispatch.m_Queue.m_QueuedCount > 0 || Dispatch.m_Queue.m_RunningCount > 0;
+}
+
+// Returns the token of the promotion duty that this host announces for a group; 0 if none. A holder
+// that is disconnected from the store cannot raise its token. It stops announcing the token so that
+// another host takes the duty over.
+uint64_t announcedToken(const LineHost &Host, const std::string &Group) {
+  auto It = Host.m_Takeovers.find(Group);
+  bool CanPromote = Host.m_Roles.m_IsHub && !Host.m_IsDraining && Host.m_Store.m_IsReachable;
+  return It != Host.m_Takeovers.end() && CanPromote ? It->second.m_Duty.m_Token : 0;
+}
+
+// Returns whether a group's state has changed lately, and records the state that is sent.
+bool noteGroupState(SentUpdates &Sent, const line::GroupNews &Update, TimePoint Now) {
+  SentGroup &Last = Sent.m_Groups[Update.group()];
+  SentGroup Current{Update.primary(), Update.generation(), Update.switching(),
+                    Update.writes_stalled(), Last.m_ChangedAt};
+  bool HasChanged = Current.m_Primary != Last.m_Primary ||
+                    Current.m_Generation != Last.m_Generation ||
+                    Current.m_PendingGeneration != Last.m_PendingGeneration ||
+                    Current.m_WritesStalled != Last.m_WritesStalled;
+  if (HasChanged)
+    Current.m_ChangedAt = Now;
+  Last = Current;
+  return Now - Current.m_ChangedAt < ChangeRepeatTime;
+}
+
+void addGroupUpdates(LineHost &Host, line::Gossip &Message, const Draft &Update) {
+  TimePoint Now = Update.m_Now;
+  size_t Position = 0;
+  for (const auto &[Name, Group] : Host.m_Groups) {
+    line::GroupNews News;
+    News.set_group(Name);
+    News.set_primary(Group.m_Primary);
+    News.set_generation(Group.m_Generation);
+    auto It = Host.m_Takeovers.find(Name);
+    if (It != Host.m_Takeovers.end() && It->second.m_IsRunning && Group.m_PendingGeneration != 0)
+      News.set_switching(Group.m_PendingGeneration);
+    uint64_t DutyToken = announcedToken(Host, Name);
+    News.set_duty_token(DutyToken);
+    News.set_writes_stalled(Group.m_WritesStalled &&
+                            Now - Group.m_WritesStalledAt < StallReportTimeout);
+    if (auto NewestConfirmation = newestConfirmedPosition(Group.m_History)) {
+      News.mutable_proved()->set_term(NewestConfirmation->m_Position.m_Term);
+      News.mutable_proved()->set_index(NewestConfirmation->m_Position.m_Index);
+      News.set_proved_age_us(std::max<uint64_t>(
+          1, duration_cast<microseconds>(Now - NewestConfirmation->m_SentAt).count()));
+    }
+    auto Dispatch = Host.m_Dispatches.find(Group.m_Primary);
+    bool IsDispatcher = Dispatch != Host.m_Dispatches.end() && isActive(Dispatch->second, Now);
+    bool HasChanged = noteGroupState(Host.m_SentUpdates, News, Now);
+    bool IsInTurn =
+        Update.m_IsFull && (Position++ + Host.m_SentUpdates.m_FullCount) % FullUpdatesPerGroup == 0;
+    if (IsInTurn || Update.m_IsForLeaves || IsDispatcher || DutyToken != 0 || HasChanged)
+      *Message.add_groups() = std::move(News);
+  }
+}
+
+// Adds the instances that this host dispatches to, or all instances for an update to leaves.
+void addInstanceUpdates(LineHost &Host, line::Gossip &Message, const Draft &Update) {
+  TimePoint Now = Update.m_Now;
+  for (const auto &[Id, GroupName] : Host.m_GroupByInstance) {
+    auto Found = Host.m_Dispatches.find(Id);
+    InstanceDispatch *OwnDispatch = Found == Host.m_Dispatches.end() ? nullptr : &Found->second;
+    const LineInstance *Instance = findInstance(Host, Id);
+    if (!Instance || !Instance->m_IsListed || (!OwnDispatch && !Update.m_IsForLeaves))
+      continue;
+    // The state of a dispatch that was retired is older than what its new dispatcher reports.
+    if (OwnDispatch && !isActive(*OwnDispatch, Now) &&
+        findDispatcher(Host, *Instance, {}, Now) != Host.m_Members.m_Self)
+      OwnDispatch = nullptr;
+    if (!OwnDispatch && !Update.m_IsForLeaves)
+      continue;
+    Duration Wait = OwnDispatch ? expectedWait(*OwnDispatch) : Instance->m_ExpectedWait;
+    bool IsUnreachable =
+        OwnDispatch ? OwnDispatch->m_IsUnreachable
+                    : Instance->m_IsUnreachable &&
+                          Now - Instance->m_UnreachableReportedAt < UnreachableReportTimeout;
+    SentInstance &Last = Update.m_IsForLeaves ? Host.m_SentUpdates.m_InstancesToLeaves[Id]
+                                              : Host.m_SentUpdates.m_InstancesToHubs[Id];
+    bool HasChanged = Last.m_IsUnreachable != IsUnreachable ||
+                      std::chrono::abs(Last.m_Wait - Wait) >= MinReportedWait;
+    Last.m_ChangedAt = HasChanged ? Now : Last.m_ChangedAt;
+    bool IsDue = Update.m_IsFull || Now - Last.m_ChangedAt < ChangeRepeatTime ||
+                 (!Update.m_IsForLeaves && isActive(*OwnDispatch, Now));
+    if (!IsDue)
+      continue;
+    Last.m_Wait = Wait;
+    Last.m_IsUnreachable = IsUnreachable;
+    line::InstanceNews &News = *Message.add_instances();
+    News.set_instance(Id);
+    News.set_wait_us(toMicros(Wait));
+    News.set_unreachable(IsUnreachable);
+    News.mutable_applied()->set_term(Instance->m_AppliedPosition.m_Term);
+    News.mutable_applied()->set_index(Instance->m_AppliedPosition.m_Index);
+  }
+}
+
+// Usage of customers that an update contains, by name.
+using UsageReports = std::vector<std::pair<std::string, UsageReport>>;
+
+void addUsage(line::Gossip &Message, const UsageReports &Reports) {
+  for (const auto &[Customer, Report] : Reports) {
+    line::CustomerUse &Usage = *Message.add_uses();
+    Usage.set_customer(Customer);
+    Usage.set_admitted(Report.m_AdmittedCount);
+    Usage.set_offered(static_cast<float>(Report.m_OfferedRate));
+  }
+}
+
+// Adds the reports in a quarter of the bytes, for a receiver that has the same configuration.
+void addCompactUsage(const LineHost &Host, line::Gossip &Message, const UsageReports &Reports) {
+  if (Reports.empty())
+    return;
+  line::CompactUsage &Compact = *Message.mutable_compact_uses();
+  Compact.set_config_version(Host.m_Config->m_Version);
+  // Both are ordered by name.
+  auto It = Host.m_Config->m_Customers.begin();
+  uint32_t Index = 0;
+  for (const auto &[Customer, Report] : Reports) {
+    for (; It != Host.m_Config->m_Customers.end() && It->first < Customer; ++It)
+      ++Index;
+    if (It == Host.m_Config->m_Customers.end() || It->first != Customer)
+      continue;
+    Compact.add_customers(Index);
+    Compact.add_admitted(static_cast<uint64_t>(std::max(Report.m_AdmittedCount, 0.0)));
+    Compact.add_offered(static_cast<uint32_t>(std::min(Report.m_OfferedRate, MaxOfferedRate) *
+                                              CompactRateUnitsPerRequest));
+  }
+}
+
+bool readsCompactUsage(const LineHost &Host, const std::string &Receiver) {
+  auto It = Host.m_GossipStates.find(Receiver);
+  return Host.m_Config && It != Host.m_GossipStates.end() && It->second.m_ReadsCompactUsage &&
+         It->second.m_ConfigVersion == Host.m_Config->m_Version;
+}
+
+void addUsageFor(const LineHost &Host, const std::string &Receiver, line::Gossip &Message,
+                 const UsageReports &Reports) {
+  if (readsCompactUsage(Host, Receiver))
+    addCompactUsage(Host, Message, Reports);
+  else
+    addUsage(Message, Reports);
+}
+
+// Returns the usage of the customers whose count has changed since the last update, and of all
+// active ones for a full update.
+UsageReports collectUsageForHubs(LineHost &Host, const Draft &Update) {
+  UsageReports Reports;
+  for (const auto &[Name, Usage] : Host.m_Usage.m_Customers) {
+    // A leaf reports for itself only: two hosts that for a moment take each other for their hub
+    // would otherwise add up each other's reports without end.
+    UsageReport Report = Host.m_Roles.m_IsHub ? buildOwnReport(Usage, Update.m_Now)
+                                              : UsageReport{0, Usage.m_AdmittedCount,
+                                                            offeredRate(Usage, Update.m_Now)};
+    double &LastCount = Host.m_SentUpdates.m_AdmittedCounts[Name];
+    bool HasChanged = std::exchange(LastCount, Report.m_AdmittedCount) != Report.m_AdmittedCount;
+    if (HasChanged || (Update.m_IsFull && Report.m_OfferedRate > MinOfferedRate))
+      Reports.emplace_back(Name, Report);
+  }
+  return Reports;
+}
+
+// The same for the usage of the whole fleet in an update to a leaf. Between full updates, a leaf
+// hears only of customers that it serves.
+UsageReports collectUsageForLeaf(const LineHost &Host, const std::string &Leaf,
+                                 const std::set<std::string> &ChangedCustomers,
+                                 const Draft &Update) {
+  UsageReports Reports;
+  for (const auto &[Name, Usage] : Host.m_Usage.m_Customers) {
+    bool IsServedByLeaf = Usage.m_RemoteUsage.contains(Leaf);
+    if (!Update.m_IsFull && !(IsServedByLeaf && ChangedCustomers.contains(Name)))
+      continue;
+    UsageReport Report = buildFleetReport(Usage, Leaf, Update.m_Now);
+    if (IsServedByLeaf || Report.m_OfferedRate > MinOfferedRate || ChangedCustomers.contains(Name))
+      Reports.emplace_back(Name, Report);
+  }
+  return Reports;
+}
+
+void fillHostInfo(line::HostInfo &Info, const HostView &Host) {
+  Info.set_id(Host.m_Id);
+  Info.set_data_centre(Host.m_DataCentre);
+  Info.set_address(Host.m_Address);
+  Info.set_weight(static_cast<float>(Host.m_Weight));
+}
+
+void addKnownHosts(LineHost &Host, line::Gossip &Message, const Draft &Update) {
+  auto &Hosts = Host.m_Members.m_Hosts;
+  std::erase_if(Host.m_SentUpdates.m_HostsLearntAt,
+                [&](const auto &Entry) { return Update.m_Now - Entry.second > NewHostTime; });
+  size_t NewHostCount = 0;
+  for (const auto &[Id, LearntAt] : Host.m_SentUpdates.m_HostsLearntAt) {
+    auto HostIt = Hosts.find(Id);
+    if (NewHostCount == MaxNewHosts || HostIt == Hosts.end())
+      continue;
+    ++NewHostCount;
+    fillHostInfo(*Message.add_known(), HostIt->second);
+  }
+  size_t RandomCount = Update.m_IsFull ? std::min(RandomHostsPerUpdate, Hosts.size()) : 0;
+  for (size_t I = 0; I < RandomCount; ++I)
+    fillHostInfo(
+        *Message.add_known(),
+        std::next(Hosts.begin(), static_cast<long>(Host.m_Random() % Hosts.size()))->second);
+}
+
+// Adds how long ago this host has heard from each hub.
+void addHubAges(LineHost &Host, line::Gossip &Message, const Draft &Update) {
+  for (const std::string &Id : Host.m_Roles.m_Hubs) {
+    const HostView &View = Host.m_Members.m_Hosts[Id];
+    line::HostInfo &Info = *Message.add_known();
+    Info.set_id(Id);
+    if (Update.m_IsFull)
+      fillHostInfo(Info, View);
+    bool WasSeen = View.m_LastSeenAt != TimePoint{} && Id != Host.m_Members.m_Self;
+    if (WasSeen)
+      Info.set_heard_age_ms(
+          static_cast<uint32_t>(duration_cast<Millis>(Update.m_Now - View.m_LastSeenAt).count()) +
+          1);
+  }
+}
+
+// Returns what every update of this host contains.
+line::Gossip makeUpdate(LineHost &Host, const Draft &Update) {
+  line::Gossip Message;
+  fillHostInfo(*Message.mutable_host(), Host.m_Members.m_Hosts[Host.m_Members.m_Self]);
+  if (!Update.m_IsFull) {
+    Message.mutable_host()->clear_address();
+    Message.mutable_host()->clear_data_centre();
+    Message.mutable_host()->clear_weight();
+  }
+  Message.set_incarnation(Host.m_Incarnation);
+  Message.set_draining(Host.m_IsDraining);
+  Message.set_sent_us(toMicros(Update.m_Now));
+  Message.set_config_version(Host.m_Config ? Host.m_Config->m_Version : 0);
+  Message.set_instances_revision(Host.m_Store.m_InstancesRevision);
+  Message.set_reads_compact_uses(true);
+  Message.set_without_store(Host.m_Store.m_LastAnswerAt != TimePoint{} &&
+                            !Host.m_Store.m_IsReachable);
+  if (Host.m_Store.m_LastAnswerAt != TimePoint{})
+    Message.set_store_age_ms(static_cast<uint32_t>(
+        duration_cast<Millis>(Update.m_Now - Host.m_Store.m_LastAnswerAt).count() + 1));
+  return Message;
+}
+
+// Serializes the part of an update that depends on its receiver. Serialized messages that follow
+// each other are read as one.
+std::string serializeFor(const LineHost &Host, const std::string &Receiver, line::Gossip Part,
+                         TimePoint Now) {
+  auto PeerIt = Host.m_GossipStates.find(Receiver);
+  if (PeerIt != Host.m_GossipStates.end() && PeerIt->second.m_LastDatagramSentUs != 0) {
+    Part.set_echo_us(PeerIt->second.m_LastDatagramSentUs);
+    Part.set_echo_held_us(duration_cast<microseconds>(Now - PeerIt->second.m_LastSeenAt).count());
+  }
+  return Part.SerializeAsString();
+}
+
+void addUpdatesToHubs(LineHost &Host, const line::Gossip &Common, const Draft &Update,
+                      std::vector<OutgoingUpdate> &Updates) {
+  line::Gossip Message = Common;
+  addGroupUpdates(Host, Message, Update);
+  addInstanceUpdates(Host, Message, Update);
+  addKnownHosts(Host, Message, Update);
+  std::string Bytes = Message.SerializeAsString();
+  UsageReports Reports = collectUsageForHubs(Host, Update);
+  for (const std::string &Id :
+       chooseReportTargets(Host.m_Members, Host.m_Roles, Update.m_Now, Host.m_HubSettings)) {
+    line::Gossip Part;
+    addUsageFor(Host, Id, Part, Reports);
+    Updates.push_back({Id, Bytes + serializeFor(Host, Id, std::move(Part), Update.m_Now)});
+  }
+}
+
+// Returns the hosts that report to this hub as leaves, and those that report to it as hubs and are
+// none, which learn the hubs from its updates.
+std::vector<std::string> listLeaves(const LineHost &Host, TimePoint Now) {
+  std::vector<std::string> Leaves;
+  for (const auto &[Id, Peer] : Host.m_GossipStates) {
+    bool IsMistakenHub = Now - Peer.m_LastHubReportAt <= LeafTimeout &&
+                         !Host.m_Roles.m_Hubs.contains(Id) &&
+                         !Host.m_Roles.m_NominalHubs.contains(Id);
+    bool IsLeaf = Now - Peer.m_LastLeafReportAt <= LeafTimeout || IsMistakenHub;
+    if (IsLeaf && Host.m_Members.m_Hosts.contains(Id))
+      Leaves.push_back(Id);
+  }
+  return Leaves;
+}
+
+// Adds updates about the whole fleet to the leaves that report to this hub.
+void addUpdatesToLeaves(LineHost &Host, const line::Gossip &Common, Draft Update,
+                        std::vector<OutgoingUpdate> &Updates) {
+  std::vector<std::string> Leaves = listLeaves(Host, Update.m_Now);
+  if (Leaves.empty())
+    return;
+  std::set<std::string> ChangedCustomers;
+  for (const auto &[Name, Usage] : Host.m_Usage.m_Customers) {
+    double Count = Usage.m_AdmittedCount + Usage.m_RemoteAdmittedCount;
+    if (std::exchange(Host.m_SentUpdates.m_FleetCounts[Name], Count) != Count)
+      ChangedCustomers.insert(Name);
+  }
+  Update.m_IsForLeaves = true;
+  line::Gossip Message = Common;
+  Message.set_to_leaf(true);
+  addGroupUpdates(Host, Message, Update);
+  addInstanceUpdates(Host, Message, Update);
+  addKnownHosts(Host, Message, Update);
+  addHubAges(Host, Message, Update);
+  std::string Bytes = Message.SerializeAsString();
+  for (const std::string &Id : Leaves) {
+    line::Gossip Part;
+    addUsageFor(Host, Id, Part, collectUsageForLeaf(Host, Id, ChangedCustomers, Update));
+    Updates.push_back({Id, Bytes + serializeFor(Host, Id, std::move(Part), Update.m_Now)});
+  }
+}
+
+// Adds the updates of a leaf to its home hub, or to all hubs if it has not heard from that one. The
+// usage of customers goes to the home hub only, because two hubs would both forward it and it would
+// be counted twice.
+void addUpdatesToHomeHub(LineHost &Host, const line::Gossip &Common, const Draft &Update,
+                         std::vector<OutgoingUpdate> &Updates) {
+  line::Gossip Message = Common;
+  Message.set_from_leaf(true);
+  addGroupUpdates(Host, Message, Update);
+  addInstanceUpdates(Host, Message, Update);
+  addKnownHosts(Host, Message, Update);
+  std::string Bytes = Message.SerializeAsString();
+  for (const std::string &Id :
+       chooseReportTargets(Host.m_Members, Host.m_Roles, Update.m_Now, Host.m_HubSettings)) {
+    line::Gossip Part;
+    if (Id == Host.m_Roles.m_HomeHub)
+      addUsageFor(Host, Id, Part, collectUsageForHubs(Host, Update));
+    Updates.push_back({Id, Bytes + serializeFor(Host, Id, std::move(Part), Update.m_Now)});
+  }
+}
+
+// Adds answers of a leaf to hosts that take it for a hub, because they do not know the hubs yet.
+void addIntroductions(LineHost &Host, const line::Gossip &Common, Draft Update,
+                      std::vector<OutgoingUpdate> &Updates) {
+  std::vector<std::string> Leaves = listLeaves(Host, Update.m_Now);
+  if (Leaves.empty())
+    return;
+  Update.m_IsFull = true;
+  line::Gossip Message = Common;
+  Message.set_to_leaf(true); // as a hub's answer; otherwise two leaves would answer each other
+  addHubAges(Host, Message, Update);
+  std::string Bytes = Message.SerializeAsString();
+  for (const std::string &Id : Leaves)
+    Updates.push_back({Id, Bytes + serializeFor(Host, Id, {}, Update.m_Now)});
+}
+
+// --- Applying ---
+
+// Returns whether the numbers of an update can be used. A datagram that was damaged on the way may
+// still be decodable.
+bool isPlausible(const line::Gossip &Message) {
+  auto IsFinite = [](double Value) { return std::isfinite(Value) && Value >= 0; };
+  return std::ranges::all_of(Message.uses(),
+                             [&](const line::CustomerUse &Usage) {
+                               return IsFinite(Usage.admitted()) && IsFinite(Usage.offered());
+                             }) &&
+         Message.sent_us() < MaxMicros && Message.echo_us() < MaxMicros &&
+         Message.echo_held_us() < MaxMicros &&
+         std::ranges::all_of(Message.groups(), [](const line::GroupNews &Update) {
+           return Update.proved_age_us() < MaxMicros;
+         });
+}
+
+void updateHost(LineHost &Host, const line::HostInfo &Info, TimePoint Now) {
+  auto HostIt = Host.m_Members.m_Hosts.find(Info.id());
+  bool IsNew = HostIt == Host.m_Members.m_Hosts.end();
+  bool IsComplete = !Info.id().empty() && !Info.data_centre().empty() &&
+                    std::isfinite(Info.weight()) && parseEndpoint(Info.address()).has_value();
+  if ((IsNew && !IsComplete) || Info.id() == Host.m_Members.m_Self)
+    return;
+  HostView &View = IsNew ? Host.m_Members.m_Hosts[Info.id()] : HostIt->second;
+  if (IsNew) {
+    Host.m_SentUpdates.m_HostsLearntAt[Info.id()] = Now;
+    logLine(LogLevel::Info, "host_learnt",
+            {{"peer", Info.id()}, {"address", Info.address()}, {"dc", Info.data_centre()}});
+  }
+  if (IsComplete) {
+    View.m_Id = Info.id();
+    View.m_DataCentre = Info.data_centre();
+    View.m_Address = Info.address();
+    View.m_Weight = Info.weight();
+  }
+  if (Info.heard_age_ms() > 0)
+    View.m_LastSeenAt = std::max(View.m_LastSeenAt, Now - Millis(Info.heard_age_ms() - 1));
+}
+
+void applyGroupUpdate(LineHost &Host, const line::GroupNews &Update, const line::Gossip &Message,
+                      TimePoint Now) {
+  auto It = Host.m_Groups.find(Update.group());
+  if (It == Host.m_Groups.end())
+    return;
+  LineGroup &Group = It->second;
+  notePromotion(Group, Update.primary(), Update.generation(), Now);
+  if (Update.duty_token() != 0 && Host.m_Roles.m_IsHub)
+    noteAnnouncedToken(Host.m_Takeovers[Update.group()], Message.host().id(), Update.duty_token(),
+                       Now);
+  if (Update.switching() > Group.m_Generation) {
+    Group.m_PendingGeneration = Update.switching();
+    Group.m_PendingGenerationAt = Now;
+  }
+  if (Update.writes_stalled() && Update.primary() == Group.m_Primary) {
+    Group.m_WritesStalled = true;
+    Group.m_WritesStalledAt = std::max(Group.m_WritesStalledAt, Now - StallReportTimeout / 2);
+  }
+  bool IsSamePrimary = !Update.primary().empty() && Update.primary() == Group.m_Primary;
+  if (Update.proved_age_us() == 0 || Message.echo_us() == 0 || !IsSamePrimary)
+    return;
+  ConfirmedPosition Confirmation;
+  Confirmation.m_Position = {Update.proved().term(), Update.proved().index()};
+  Confirmation.m_SentAt = fromMicros(Message.echo_us()) + microseconds(Message.echo_held_us()) -
+                          microseconds(Update.proved_age_us());
+  if (Confirmation.m_SentAt <= Now)
+    addConfirmedPosition(Group.m_History, Confirmation, Now);
+}
+
+void applyInstanceUpdate(LineHost &Host, const line::InstanceNews &Update, TimePoint Now) {
+  LineInstance *Instance = findInstance(Host, Update.instance());
+  if (!Instance)
+    return;
+  Instance->m_ExpectedWait = microseconds(Update.wait_us());
+  Instance->m_AppliedPosition = std::max(
+      Instance->m_AppliedPosition, Position{Update.applied().term(), Update.applied().index()});
+  Instance->m_IsUnreachable = Update.unreachable();
+  Instance->m_UnreachableReportedAt = Now;
+  if (Update.unreachable())
+    Instance->m_BackoffUntil = std::max(Instance->m_BackoffUntil, Now + Millis(300));
+}
+
+void applyCompactUsage(LineHost &Host, const line::Gossip &Message, TimePoint Now) {
+  const line::CompactUsage &Compact = Message.compact_uses();
+  bool IsReadable = Host.m_Config && Compact.config_version() == Host.m_Config->m_Version &&
+                    Compact.admitted_size() == Compact.customers_size() &&
+                    Compact.offered_size() == Compact.customers_size();
+  if (!IsReadable)
+    return; // of another configuration; the sender's next update knows this host's version
+  auto It = Host.m_Config->m_Customers.begin();
+  uint32_t Index = 0;
+  for (int I = 0; I < Compact.customers_size(); ++I) {
+    for (; Index < Compact.customers(I) && It != Host.m_Config->m_Customers.end(); ++It)
+      ++Index;
+    if (Index != Compact.customers(I) || It == Host.m_Config->m_Customers.end())
+      return;
+    noteRemoteUsage(Host.m_Usage, It->first, Message.host().id(),
+                    {Message.incarnation(), static_cast<double>(Compact.admitted(I)),
+                     Compact.offered(I) / CompactRateUnitsPerRequest},
+                    Message.from_leaf(), Now);
+  }
+}
+
+void applyUsage(LineHost &Host, const line::Gossip &Message, TimePoint Now) {
+  const std::string &SenderId = Message.host().id();
+  // Each request is counted once: a leaf hears of it from its home hub, which reports for the whole
+  // fleet, and a hub from the leaf or from the leaf's home hub. Hosts may differ on their roles for
+  // a moment.
+  bool IsFromHomeHub =
+      !Host.m_Roles.m_IsHub && Message.to_leaf() && SenderId == Host.m_Roles.m_HomeHub;
+  bool IsLeaf = Now - Host.m_GossipStates[SenderId].m_LastLeafReportAt <= LeafTimeout;
+  bool IsFromOwnLeaf = Host.m_Roles.m_IsHub && Message.from_leaf();
+  bool IsFromHub = Host.m_Roles.m_IsHub && !Message.to_leaf() && !Message.from_leaf() && !IsLeaf;
+  if (!IsFromHomeHub && !IsFromOwnLeaf && !IsFromHub)
+    return;
+  if (IsFromHomeHub)
+    keepOnlyReportsOf(Host.m_Usage, SenderId);
+  for (const line::CustomerUse &Usage : Message.uses())
+    noteRemoteUsage(Host.m_Usage, Usage.customer(), SenderId,
+                    {Message.incarnation(), Usage.admitted(), Usage.offered()}, Message.from_leaf(),
+                    Now);
+  applyCompactUsage(Host, Message, Now);
+}
+
+// Returns whether this host should now ask the sender of an update for newer data.
+bool shouldRequestData(LineHost &Host, const PeerGossipState &Peer, bool IsSameDataCentre,
+                       TimePoint Now) {
+  StoreSyncState &Store = Host.m_Store;
+  bool IsPeerNewer = Peer.m_ConfigVersion > (Host.m_Config ? Host.m_Config->m_Version : 0) ||
+                     (Peer.m_InstancesRevision > Store.m_InstancesRevision &&
+                      Now - Store.m_InstancesUpdatedAt > InstancesRequestDelay);
+  if (!IsPeerNewer)
+    return false;
+  if (Store.m_BehindSince == TimePoint{})
+    Store.m_BehindSince = Now;
+  bool IsRequestDue = IsSameDataCentre || Now - Store.m_BehindSince > RemoteRequestDelay;
+  if (!IsRequestDue || Now - Store.m_LastPeerRequestAt <= ConfigRequestInterval)
+    return false;
+  Store.m_BehindSince = {};
+  Store.m_LastPeerRequestAt = Now;
+  return true;
+}
+
+} // namespace
+
+void refreshHubs(LineHost &Host, TimePoint Now) {
+  std::map<std::string, size_t> InstanceCounts;
+  for (const auto &[Name, Group] : Host.m_Groups)
+    for (const auto &[Id, Instance] : Group.m_Instances)
+      InstanceCounts[Instance.m_DataCentre] += Instance.m_IsListed ? 1 : 0;
+  HubRoles NextRoles = assignHubs(Host.m_Members, InstanceCounts, Now, Host.m_MembershipSettings,
+                                  Host.m_HubSettings);
+  const HubRoles &LastRoles = Host.m_Roles;
+  if (NextRoles.m_IsHub != LastRoles.m_IsHub || NextRoles.m_IsIsolated != LastRoles.m_IsIsolated ||
+      NextRoles.m_HomeHub != LastRoles.m_HomeHub)
+    logLine(LogLevel::Info, "hub_duty",
+            {{"hub", NextRoles.m_IsHub ? "yes" : "no"},
+             {"isolated", NextRoles.m_IsIsolated ? "yes" : "no"},
+             {"home", NextRoles.m_HomeHub},
+             {"hubs", std::to_string(NextRoles.m_Hubs.size())}});
+  Host.m_Roles = std::move(NextRoles);
+}
+
+std::vector<OutgoingUpdate> buildUpdates(LineHost &Host, TimePoint Now) {
+  Draft Update;
+  Update.m_Now = Now;
+  Update.m_IsFull = Now - Host.m_SentUpdates.m_LastFullAt >= FullUpdateInterval;
+  if (Update.m_IsFull) {
+    Host.m_SentUpdates.m_LastFullAt = Now;
+    ++Host.m_SentUpdates.m_FullCount;
+  }
+  std::vector<OutgoingUpdate> Updates;
+  line::Gossip Common = makeUpdate(Host, Update);
+  if (Host.m_Roles.m_IsHub) {
+    addUpdatesToHubs(Host, Common, Update, Updates);
+    addUpdatesToLeaves(Host, Common, Update, Updates);
+  } else {
+    addUpdatesToHomeHub(Host, Common, Update, Updates);
+    addIntroductions(Host, Common, Update, Updates);
+  }
+  return Updates;
+}
+
+std::string buildUpdateToSeeds(LineHost &Host, TimePoint Now) {
+  Draft Update;
+  Update.m_Now = Now;
+  Update.m_IsFull = true;
+  return makeUpdate(Host, Update).SerializeAsString();
+}
+
+std::string applyUpdate(LineHost &Host, std::string_view Bytes, TimePoint Now) {
+  line::Gossip Message;
+  if (!Message.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())) ||
+      !isPlausible(Message)) {
+    countEvent(*Host.m_Metrics, "datagram_malformed");
+    return {};
+  }
+  const std::string &SenderId = Message.host().id();
+  if (SenderId.empty() || SenderId == Host.m_Members.m_Self)
+    return {};
+  updateHost(Host, Message.host(), Now);
+  for (const line::HostInfo &Info : Message.known())
+    updateHost(Host, Info, Now);
+  auto HostIt = Host.m_Members.m_Hosts.find(SenderId);
+  if (HostIt == Host.m_Members.m_Hosts.end())
+    return {}; // its next full update shows its address
+  HostView &View = HostIt->second;
+  PeerGossipState &Peer = Host.m_GossipStates[SenderId];
+  bool HasRestarted = View.m_Incarnation != Message.incarnation();
+  if (!HasRestarted && Message.sent_us() <= Peer.m_LastDatagramSentUs)
+    return {}; // an older datagram that arrived out of order
+  if (HasRestarted)
+    View.m_LastFailedAt = {};
+  View.m_Incarnation = Message.incarnation();
+  View.m_LastSeenAt = Now;
+  View.m_IsDraining = Message.draining();
+  Peer.m_LastDatagramSentUs = Message.sent_us();
+  Peer.m_LastSeenAt = Now;
+  Peer.m_ConfigVersion = Message.config_version();
+  Peer.m_InstancesRevision = Message.instances_revision();
+  Peer.m_IsWithoutStore = Message.without_store();
+  Peer.m_ReadsCompactUsage = Message.reads_compact_uses();
+  for (const line::GroupNews &Update : Message.groups())
+    applyGroupUpdate(Host, Update, Message, Now);
+  for (const line::InstanceNews &Update : Message.instances())
+    applyInstanceUpdate(Host, Update, Now);
+  if (Message.from_leaf())
+    Peer.m_LastLeafReportAt = Now;
+  else if (!Message.to_leaf())
+    Peer.m_LastHubReportAt = Now;
+  applyUsage(Host, Message, Now);
+  if (Message.store_age_ms() > 0)
+    Peer.m_LastStoreAnswerAt = Now - Millis(Message.store_age_ms() - 1);
+  bool IsSameDataCentre = View.m_DataCentre == Host.m_Settings.m_DataCentre;
+  return shouldRequestData(Host, Peer, IsSameDataCentre, Now) ? SenderId : std::string();
+}
+
+} // namespace quetzalpaddle
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -21,6 +21,7 @@
 
 constexpr std::string_view RelayScoreName = "relay/";
 constexpr std::string_view HubScoreName = "hub";
+constexpr std::string_view WatcherScoreName = "watch";
 constexpr Millis UnlimitedAge = std::chrono::hours(24 * 365);
 
 // Whether a host can be a hub: it is not leaving and was seen within ReplaceAfter. A host that was
@@ -177,20 +178,18 @@
                                  const std::map<std::string, size_t> &Instances, TimePoint Now,
                                  const HubSettings &HubConfig) {
   std::set<std::string> Hubs;
-  if (Members.m_Hosts.size() <= HubConfig.m_MaxFullMeshHosts) {
-    for (const auto &[Id, View] : Members.m_Hosts)
-      Hubs.insert(Id);
-    return Hubs;
-  }
   struct Candidate {
-    double m_Weight = 0;
+    // As precise as in the updates between hosts: with another precision a host would rank itself
+    // differently among equals than the others do.
+    float m_Weight = 0;
     uint64_t m_Score = 0;
     const std::string *m_Id = nullptr;
   };
   std::map<std::string, std::vector<Candidate>> ByDataCentre;
   for (const auto &[Id, View] : Members.m_Hosts)
     if (canBeHub(Members, View, Now, HubConfig.m_ReplaceAfter))
-      ByDataCentre[View.m_DataCentre].push_back({View.m_Weight, scoreHost(Id, HubScoreName), &Id});
+      ByDataCentre[View.m_DataCentre].push_back(
+          {static_cast<float>(View.m_Weight), scoreHost(Id, HubScoreName), &Id});
   for (auto &[DataCentre, Candidates] : ByDataCentre) {
     auto InstanceEntry = Instances.find(DataCentre);
     size_t Count = InstanceEntry == Instances.end() ? 0 : InstanceEntry->second;
@@ -260,6 +259,23 @@
   return Targets;
 }
 
+bool isWatcher(const Membership &Members, const HubRoles &Roles,
+               const std::set<std::string> &WithoutStore, TimePoint Now,
+               const MembershipSettings &Settings, const HubSettings &HubConfig) {
+  if (!Roles.m_IsHub)
+    return false;
+  uint64_t OwnScore = scoreHost(Members.m_Self, WatcherScoreName);
+  auto ComesBefore = [&](const std::string &Id) {
+    auto It = Members.m_Hosts.find(Id);
+    return It != Members.m_Hosts.end() && Id != Members.m_Self &&
+           It->second.m_DataCentre == Members.m_DataCentre && !WithoutStore.contains(Id) &&
+           isUsable(Members, It->second, Now, Settings) &&
+           scoreHost(Id, WatcherScoreName) > OwnScore;
+  };
+  return static_cast<size_t>(std::ranges::count_if(Roles.m_Hubs, ComesBefore)) <
+         HubConfig.m_WatchersPerDataCentre;
+}
+
 std::vector<std::string> chooseNeighbours(const Membership &Members, TimePoint Now,
                                           const MembershipSettings &Settings) {
   // Hosts of the own data centre are included even if they are unusable, because only an exchange
--- a/src/usage.cpp
+++ b/src/usage.cpp
@@ -122,7 +122,10 @@
   });
   auto [Entry, IsNew] = Usage.m_RemoteUsage.try_emplace(Host);
   RemoteUsage &Remote = Entry->second;
-  if (IsNew || Remote.m_LastReport.m_Incarnation != Report.m_Incarnation) {
+  // A hub also reports for its leaves, so the counts before and after a change of role cannot be
+  // compared.
+  bool HasNewRole = Remote.m_IsLeaf != IsLeaf;
+  if (IsNew || HasNewRole || Remote.m_LastReport.m_Incarnation != Report.m_Incarnation) {
     Remote = {Report, Now, 0, 0, IsLeaf};
     return;
   }
--- a/tests/hubs_test.cpp
+++ b/tests/hubs_test.cpp
@@ -71,13 +71,46 @@
   cr_assert_eq(Members.m_Hosts[HomeHub].m_DataCentre, "d0");
 }
 
-Test(hubs, small_fleets_are_a_full_mesh) {
+// Guards against a full mesh of a small fleet, in which the updates between data centres grow with
+// the square of the hosts.
+Test(hubs, small_fleets_have_leaves_too) {
   Membership Members = makeFleet("d0-7");
-  std::erase_if(Members.m_Hosts,
-                [](const auto &Entry) { return Entry.first.size() > 4 || Entry.first[3] > '4'; });
-  cr_assert_leq(Members.m_Hosts.size(), DefaultHubSettings.m_MaxFullMeshHosts);
-  cr_assert_eq(chooseHubs(Members, InstancesPerDataCentre, Start, DefaultHubSettings).size(),
-               Members.m_Hosts.size());
+  std::erase_if(Members.m_Hosts, [](const auto &Entry) { return Entry.first.size() > 4; });
+  for (char LastHost : {'5', '3', '1', '0'}) {
+    std::erase_if(Members.m_Hosts, [&](const auto &Entry) { return Entry.first[3] > LastHost; });
+    size_t HubsPerDataCentre = LastHost == '0' ? 1 : 2;
+    cr_assert_eq(chooseHubs(Members, InstancesPerDataCentre, Start, DefaultHubSettings).size(),
+                 4 * HubsPerDataCentre);
+  }
+}
+
+// Two hubs of each data centre watch the store. Guards against news that nobody hears because the
+// store refuses exactly the watchers.
+Test(hubs, hubs_that_reach_the_store_watch_it) {
+  Membership Members = makeFleet("d0-0");
+  for (auto &[Id, View] : Members.m_Hosts) {
+    View.m_Weight = Id[3] < '5' && Id.size() == 4 ? 0.5 : 0.084;
+    View.m_LastSeenAt = Start;
+  }
+  const std::map<std::string, size_t> ManyInstances = {{"d0", 20}};
+  auto ListWatchers = [&](const std::set<std::string> &WithoutStore) {
+    std::set<std::string> Watchers;
+    for (int N = 0; N < 5; ++N) {
+      Members.m_Self = fmt::format("d0-{}", N);
+      HubRoles Roles = assignHubs(Members, ManyInstances, Start, Settings, DefaultHubSettings);
+      cr_assert(Roles.m_IsHub);
+      if (isWatcher(Members, Roles, WithoutStore, Start, Settings, DefaultHubSettings))
+        Watchers.insert(Members.m_Self);
+    }
+    return Watchers;
+  };
+  std::set<std::string> Watchers = ListWatchers({});
+  cr_assert_eq(Watchers.size(), 2);
+  std::set<std::string> Replacements = ListWatchers(Watchers);
+  std::erase_if(Replacements, [&](const std::string &Id) { return Watchers.contains(Id); });
+  cr_assert_eq(Replacements.size(), 2);
+  Members.m_Hosts[*Watchers.begin()].m_LastSeenAt = Start - Settings.m_LastSeenTimeout * 2;
+  cr_assert_eq(ListWatchers({}).size(), 3, "the silent one and two others");
 }
 
 namespace {
