Keep reads near while a slot is free, and try lagging replicas less often

A host that may not take a duty read it from the store every 100 ms. Change: outstanding statements cost a wait only beyond the slots; the back-off of a lagging replica doubles up to 480 ms; replicas are resumed again only after the other holder's grace period. Tests: reads_stay_near_while_a_slot_is_free, lagging_replica_is_tried_ever_less_often (both fail on the code before).

--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -236,6 +236,12 @@
     logTakeover(Group, State, "replicas_resumed", "duty acquired or writes stalled");
     co_await resumeReplicas(Host, GroupName, Replicas);
   }
+  // Another holder resumes them; the store is not asked again before its grace period ends.
+  if (!HoldsDuty)
+    State.m_NextAttemptAt =
+        std::max({State.m_NextAttemptAt, bootNow() + DefaultSettings.m_RetryDelay,
+                  State.m_SeenToken > State.m_Duty.m_Token ? findGraceEnd(State, DefaultSettings)
+                                                           : TimePoint{}});
   State.m_IsRunning = false;
 }
 
--- a/src/positions.cpp
+++ b/src/positions.cpp
@@ -17,9 +17,12 @@
 constexpr Millis HistoryResolution{20};
 // Covers the longest staleness that a route accepts (2,500 ms) plus the time in queues.
 constexpr Millis HistoryMaxAge{6000};
-// Wait that each outstanding statement of this host adds at an instance with one slot. It is added
-// to the wait that the dispatcher last reported.
+// Duration of a statement at an instance. Outstanding statements of this host beyond the instance's
+// slots add a share of it to the wait that the dispatcher last reported.
 constexpr Millis EstimatedStatementTime{25};
+// The same for each outstanding statement that finds a slot, so that equal instances share the
+// load.
+constexpr Millis OccupiedSlotCost{3};
 // Cost of an instance in another data centre, as waiting time.
 constexpr Millis CrossDataCentrePenalty{4};
 // Cost of a replica whose last answer did not show the required position.
@@ -30,8 +33,10 @@
 // Back-off from an instance after failures; doubles with each consecutive one.
 constexpr Millis MinBackoff{100};
 constexpr Millis MaxBackoff{1600};
-// Back-off from a replica that refused a read because its log lags.
-constexpr Millis LaggingBackoff{60};
+// Back-off from a replica that refused a read because its log lags; doubles with each consecutive
+// refusal. Its first value is a usual lag, the last one bounds how late its return is noticed.
+constexpr Millis MinLaggingBackoff{60};
+constexpr Millis MaxLaggingBackoff{480};
 // Duration of a normal recovery: 1 s until the primary counts as unreachable, 1 s for the
 // promotion, and 1 s to inform the hosts and open new connections.
 constexpr Millis ExpectedRecoveryTime{3000};
@@ -121,14 +126,34 @@
 
 void noteSuccess(LineInstance &Instance, Position Applied, TimePoint Now) {
   Instance.m_Backoff = Duration::zero();
+  Instance.m_LaggingBackoff = Duration::zero();
   Instance.m_AppliedPosition = std::max(Instance.m_AppliedPosition, Applied);
   Instance.m_AppliedAt = Now;
 }
 
 void noteLagging(LineInstance &Instance, TimePoint Now) {
-  Instance.m_BackoffUntil = std::max(Instance.m_BackoffUntil, Now + LaggingBackoff);
+  // Refusals of statements sent before the last one was answered tell nothing new.
+  if (Now < Instance.m_BackoffUntil)
+    return;
+  Instance.m_LaggingBackoff =
+      std::clamp<Duration>(Instance.m_LaggingBackoff * 2, MinLaggingBackoff, MaxLaggingBackoff);
+  Instance.m_BackoffUntil = Now + Instance.m_LaggingBackoff;
 }
 
+namespace {
+
+// Estimates what the outstanding statements of this host add to the wait for a slot.
+Duration estimateOwnWait(const LineInstance &Inst) {
+  uint32_t SlotCount = std::max<uint32_t>(Inst.m_SlotCount, 1);
+  uint32_t QueuedCount =
+      Inst.m_OutstandingCount < SlotCount ? 0 : Inst.m_OutstandingCount + 1 - SlotCount;
+  return (QueuedCount * Duration(EstimatedStatementTime) +
+          Inst.m_OutstandingCount * Duration(OccupiedSlotCost)) /
+         SlotCount;
+}
+
+} // namespace
+
 std::string chooseReadInstance(const LineGroup &Group, const LineReadRequirements &Requirements,
                                TimePoint Now) {
   const LineInstance *Best = nullptr;
@@ -139,9 +164,7 @@
         (Requirements.m_TriedInstances && Requirements.m_TriedInstances->contains(Id)) ||
         Now < Inst.m_BackoffUntil || (!Requirements.m_MinPosition && !IsPrimary))
       continue;
-    Duration Cost = Inst.m_ExpectedWait + Inst.m_OutstandingCount *
-                                              Duration(EstimatedStatementTime) /
-                                              std::max<uint32_t>(Inst.m_SlotCount, 1);
+    Duration Cost = Inst.m_ExpectedWait + estimateOwnWait(Inst);
     if (Inst.m_DataCentre != Requirements.m_DataCentre)
       Cost += CrossDataCentrePenalty;
     if (IsPrimary)
--- a/src/positions.h
+++ b/src/positions.h
@@ -58,6 +58,7 @@
   Duration m_ExpectedWait{};           // for a slot, as reported by its dispatcher
   TimePoint m_BackoffUntil{};          // gets no reads before; set after failures and refusals
   Duration m_Backoff{};                // last back-off; doubles with each consecutive failure
+  Duration m_LaggingBackoff{};         // the same for refusals because its log lags
   bool m_IsUnreachable = false;        // as last reported by its dispatcher
   TimePoint m_UnreachableReportedAt{}; // last update from its dispatcher, whatever it reported
 };
--- a/tests/positions_test.cpp
+++ b/tests/positions_test.cpp
@@ -86,6 +86,38 @@
                "r1");
 }
 
+// Replicas receive nothing for seconds while reads arrive. Guards against a refusal at the same
+// replica for every few reads; it is tried again soon after it has caught up.
+Test(positions, lagging_replica_is_tried_ever_less_often) {
+  LineGroup Group = makeGroup();
+  LineInstance &Replica = Group.m_Instances["r1"];
+  int RefusalCount = 0;
+  for (TimePoint Now = Start; Now < Start + Millis(3000); Now += Millis(5))
+    if (chooseReadInstance(Group, {"b", Position{1, 9}, nullptr}, Now) == "r1") {
+      noteLagging(Replica, Now);
+      ++RefusalCount;
+    }
+  cr_assert_leq(RefusalCount, 10);
+  cr_assert_leq(Replica.m_BackoffUntil - (Start + Millis(3000)), Millis(500));
+  noteSuccess(Replica, {1, 9}, Start + Millis(3500));
+  noteLagging(Replica, Start + Millis(4000));
+  cr_assert_eq(Replica.m_BackoffUntil, Start + Millis(4060));
+}
+
+// A replica with three slots runs one statement of this host. Guards against a read in another data
+// centre, a longer way and more traffic, while a slot is free in the own one.
+Test(positions, reads_stay_near_while_a_slot_is_free) {
+  LineGroup Group = makeGroup();
+  LineInstance &Replica = Group.m_Instances["r1"];
+  Replica.m_SlotCount = 3;
+  for (uint32_t Count : {0, 1, 2}) {
+    Replica.m_OutstandingCount = Count;
+    cr_expect_eq(chooseReadInstance(Group, {"b", Position{1, 5}, nullptr}, Start), "r1");
+  }
+  Replica.m_OutstandingCount = 3;
+  cr_expect_eq(chooseReadInstance(Group, {"b", Position{1, 5}, nullptr}, Start), "r2");
+}
+
 // Guards against reads that queue at the nearest replica, as when the other instances of its data
 // centre are lost.
 Test(positions, busy_replica_is_avoided) {
