Confirm the first configuration, and probe a silent host before its link is closed

Hosts now serve callers once the store (a watch without a wait right after the old list) or a host with a confirmed configuration has shown that theirs is the newest; after 3 s without either they use what they have. Test: anOldConfigurationIsNotUsedBeforeItIsConfirmed. - A host whose datagrams were lost for 1 s, but which answered on its links, had its running statements given up and its transactions rolled back. Its link now gets a request first; only one that leaves that unanswered for 0.5 s is closed.

--- a/src/line_host.h
+++ b/src/line_host.h
@@ -135,6 +135,7 @@
   std::string m_Address;
   std::shared_ptr<FrameConnection> m_FrameConnection; // null while closed
   bool m_IsConnecting = false;
+  TimePoint m_ProbedAt{}; // last message that was sent only to get an answer
   std::vector<std::shared_ptr<Wakeup>> m_LinkWaiters;
   std::map<uint64_t, std::shared_ptr<PendingCall>> m_PendingCalls;
 };
@@ -229,6 +230,9 @@
 
   std::shared_ptr<const LineConfig> m_Config; // null until the first one arrives
   TimePoint m_ConfigAppliedAt{};
+  // The store or another host has shown no newer configuration since the start. The first one may
+  // come from an old list, with keys that have been withdrawn since.
+  bool m_IsConfigConfirmed = false;
   std::map<std::string, TimePoint> m_WithdrawnKeys; // key -> when this host saw it withdrawn
   std::map<std::string, LineGroup> m_Groups;
   std::map<std::string, std::string> m_GroupByInstance; // instance -> group
@@ -297,7 +301,7 @@
 std::string findDispatcher(const LineHost &Host, const LineInstance &Target,
                            const std::set<std::string> &SkippedHosts, TimePoint Now);
 
-// Closes the links to hosts from which no message has arrived lately.
+// Closes the links to hosts from which no message has arrived lately, in answer to a probe neither.
 void closeSilentLinks(LineHost &Host, TimePoint Now);
 
 // Asks a host for its configuration and its list of instances if they are newer.
@@ -335,6 +339,10 @@
 Awaitable<void> syncConfig(LineHost &Host);
 Awaitable<void> syncInstances(LineHost &Host);
 Awaitable<void> registerHost(LineHost &Host);
+// Returns whether callers may be served with the configuration: it is confirmed, or nothing has
+// confirmed it for so long that neither the store nor another host can be reached.
+bool canUseConfig(const LineHost &Host, TimePoint Now);
+
 // Applies a configuration and a list of instances that another host has forwarded.
 void applyForwardedConfig(LineHost &Host, const line::ConfigReply &Reply);
 
--- a/src/line_peer.cpp
+++ b/src/line_peer.cpp
@@ -279,13 +279,20 @@
 }
 
 void closeSilentLinks(LineHost &Host, TimePoint Now) {
+  Millis Timeout = Host.m_MembershipSettings.m_LastSeenTimeout;
   for (auto &[Peer, Link] : Host.m_Links) {
     auto HostIt = Host.m_Members.m_Hosts.find(Peer);
-    if (!Link.m_FrameConnection || HostIt == Host.m_Members.m_Hosts.end())
+    if (!Link.m_FrameConnection || HostIt == Host.m_Members.m_Hosts.end() ||
+        HostIt->second.m_LastSeenAt == TimePoint{})
       continue;
-    bool IsSilent = HostIt->second.m_LastSeenAt != TimePoint{} &&
-                    Now - HostIt->second.m_LastSeenAt > Host.m_MembershipSettings.m_LastSeenTimeout;
-    if (IsSilent)
+    Duration Silence = Now - HostIt->second.m_LastSeenAt;
+    // Only its datagrams may be lost, or nothing may be due from it. Closing the link would give up
+    // the statements and roll back the transactions that run there.
+    if (Silence > Timeout / 2 && Now - Link.m_ProbedAt > Timeout) {
+      Link.m_ProbedAt = Now;
+      requestConfig(Host, Peer);
+    }
+    if (Silence > Timeout && Now - Link.m_ProbedAt > Timeout / 2)
       closeFrameConnection(*Link.m_FrameConnection);
   }
 }
--- a/src/line_serve.cpp
+++ b/src/line_serve.cpp
@@ -228,8 +228,8 @@
 }
 
 bool isReady(const LineHost &Host) {
-  return Host.m_Config && !Host.m_IsDraining && Host.m_Store.m_InstancesRevision != 0 &&
-         bootNow() - Host.m_StartedAt > StartupGracePeriod;
+  return canUseConfig(Host, bootNow()) && !Host.m_IsDraining &&
+         Host.m_Store.m_InstancesRevision != 0 && bootNow() - Host.m_StartedAt > StartupGracePeriod;
 }
 
 // Returns whether any statement is queued or in progress, which calls for short ticks.
--- a/src/line_session.cpp
+++ b/src/line_session.cpp
@@ -93,7 +93,7 @@
 
 std::variant<Permission, CallerAnswer> checkPermission(const LineHost &Host,
                                                        const CallerSession &Session) {
-  if (!Host.m_Config)
+  if (!canUseConfig(Host, bootNow()))
     return refuse("BUSY", "no configuration yet", Reason::Internal);
   auto Route = Host.m_Config->m_Routes.find(Session.m_Database);
   if (Route == Host.m_Config->m_Routes.end())
--- a/src/line_sync.cpp
+++ b/src/line_sync.cpp
@@ -44,6 +44,8 @@
 // Instances whose entries expired while the store was unavailable register anew within 2 s of its
 // return. Missing entries are removed only after this time.
 constexpr Millis ExpiryGracePeriod{2500};
+// A host that has not had its configuration confirmed for this long after its start uses it.
+constexpr Millis ConfirmationTimeout{3000};
 // A withdrawn key is remembered for this long, which is longer than any transaction.
 constexpr std::chrono::minutes WithdrawnKeyRetention{2};
 
@@ -251,11 +253,14 @@
 }
 
 // Lists the objects of a kind, then watches their changes. Lists them once more if the store no
-// longer has the history since the last revision.
+// longer has the history since the last revision. NoteCurrent is called when what was applied is
+// known to be the newest.
 Awaitable<void> followObjects(LineHost &Host, std::string Kind,
                               std::function<void(StoreSnapshot)> ApplyList,
-                              std::function<void(const StoreSnapshot &)> ApplyChanges) {
+                              std::function<void(const StoreSnapshot &)> ApplyChanges,
+                              std::function<void()> NoteCurrent) {
   Duration RetryDelay{};
+  bool MayBeOld = false; // the list was; the first watch fetches what it lacks without a wait
   uint64_t Revision = 0; // 0 = the next call is a list
   for (bool IsFirst = true;; IsFirst = false) {
     if (!IsFirst && RetryDelay == Duration::zero() && !shouldWatchStore(Host)) {
@@ -271,7 +276,8 @@
     if (Revision == 0)
       Result = co_await platform::listObjects(Host.m_StoreClient, Kind, RequiredFreshness);
     else
-      Result = co_await platform::watchObjects(Host.m_StoreClient, Kind, Revision, WatchTimeout);
+      Result = co_await platform::watchObjects(Host.m_StoreClient, Kind, Revision,
+                                               MayBeOld ? Millis(0) : WatchTimeout);
     if (auto *Fault = std::get_if<StoreFault>(&Result)) {
       if (*Fault == StoreFault::HistoryGone || *Fault == StoreFault::Malformed)
         Revision = 0;
@@ -294,10 +300,13 @@
                {"entries", std::to_string(Snapshot.m_MalformedEntries.size())},
                {"first", Snapshot.m_MalformedEntries.front()}});
     }
+    MayBeOld = IsList && RequiredFreshness == Freshness::AllowStale;
     if (IsList)
       ApplyList(std::move(Snapshot));
     else
       ApplyChanges(Snapshot);
+    if (!MayBeOld)
+      NoteCurrent();
   }
 }
 
@@ -347,7 +356,10 @@
   };
   std::function<void(StoreSnapshot)> ApplyList = ApplySnapshot;
   std::function<void(const StoreSnapshot &)> ApplyChanges = ApplySnapshot;
-  co_await followObjects(Host, platform::ConfigKind, ApplyList, ApplyChanges);
+  std::function<void()> NoteCurrent = [&Host] {
+    Host.m_IsConfigConfirmed = Host.m_Config != nullptr;
+  };
+  co_await followObjects(Host, platform::ConfigKind, ApplyList, ApplyChanges, NoteCurrent);
 }
 
 Awaitable<void> syncInstances(LineHost &Host) {
@@ -357,7 +369,8 @@
   std::function<void(const StoreSnapshot &)> ApplyChanges = [&Host](const StoreSnapshot &Changes) {
     applyInstanceChanges(Host, Changes);
   };
-  co_await followObjects(Host, platform::InstanceKind, ApplyList, ApplyChanges);
+  std::function<void()> NoteCurrent = [] {};
+  co_await followObjects(Host, platform::InstanceKind, ApplyList, ApplyChanges, NoteCurrent);
 }
 
 // Reads the list of hosts from the store and adds the new ones. The list may be seconds old: it
@@ -411,9 +424,15 @@
           {{"hosts", std::to_string(Host.m_Members.m_Hosts.size())}});
 }
 
+bool canUseConfig(const LineHost &Host, TimePoint Now) {
+  return Host.m_Config &&
+         (Host.m_IsConfigConfirmed || Now - Host.m_StartedAt > ConfirmationTimeout);
+}
+
 void applyForwardedConfig(LineHost &Host, const line::ConfigReply &Reply) {
   if (!Reply.config().empty())
     applyConfig(Host, Reply.config(), "host");
+  Host.m_IsConfigConfirmed = Host.m_Config != nullptr;
   if (Reply.instances_revision() <= Host.m_Store.m_InstancesRevision)
     return;
   StoreSnapshot List;
--- a/src/line_updates.cpp
+++ b/src/line_updates.cpp
@@ -326,6 +326,7 @@
   Message.set_config_version(Host.m_Config ? Host.m_Config->m_Version : 0);
   Message.set_instances_revision(Host.m_Store.m_InstancesRevision);
   Message.set_reads_compact_uses(true);
+  Message.set_config_confirmed(Host.m_IsConfigConfirmed);
   Message.set_without_store(Host.m_Store.m_LastAnswerAt != TimePoint{} &&
                             !Host.m_Store.m_IsReachable);
   if (Host.m_Store.m_LastAnswerAt != TimePoint{})
@@ -660,6 +661,8 @@
   Peer.m_LastSeenAt = Now;
   Peer.m_ConfigVersion = Message.config_version();
   Peer.m_InstancesRevision = Message.instances_revision();
+  bool IsOwnAsNew = Host.m_Config && Message.config_version() <= Host.m_Config->m_Version;
+  Host.m_IsConfigConfirmed = Host.m_IsConfigConfirmed || (IsOwnAsNew && Message.config_confirmed());
   Peer.m_IsWithoutStore = Message.without_store();
   Peer.m_ReadsCompactUsage = Message.reads_compact_uses();
   for (const line::GroupNews &Update : Message.groups())
--- a/tests/updates_test.cpp
+++ b/tests/updates_test.cpp
@@ -330,6 +330,35 @@
   }
 }
 
+// All hosts restart from a list that is seconds old, in which a withdrawn key is still valid.
+// Guards against serving callers before the store or another host has shown whether it is the
+// newest.
+Test(updates, anOldConfigurationIsNotUsedBeforeItIsConfirmed, .timeout = 60) {
+  Fleet F;
+  startFleet(F, {});
+  for (auto &[Id, Host] : F.m_Hosts)
+    Host->m_StartedAt = F.m_Now;
+  auto CountServing = [&] {
+    return std::ranges::count_if(
+        F.m_Hosts, [&](const auto &Entry) { return canUseConfig(*Entry.second, F.m_Now); });
+  };
+  runFleet(F, Millis(1000));
+  cr_assert_eq(CountServing(), 0, "hosts with the same old list confirm nothing to each other");
+  LineHost &First = *F.m_Hosts.begin()->second;
+  setConfigVersion(First, 2);
+  First.m_IsConfigConfirmed = true;
+  cr_assert(runUntil(F, Millis(1900), [&] { return CountServing() == 19; }));
+  cr_assert(std::ranges::all_of(
+      F.m_Hosts, [](const auto &Entry) { return Entry.second->m_Config->m_Version == 2; }));
+  Fleet Alone;
+  FleetOptions Options;
+  Options.m_HostCount = 1;
+  startFleet(Alone, Options);
+  Alone.m_Hosts.begin()->second->m_StartedAt = Alone.m_Now;
+  runFleet(Alone, Millis(3100));
+  cr_assert(canUseConfig(*Alone.m_Hosts.begin()->second, Alone.m_Now), "without store and others");
+}
+
 // Guards against a host that left for good, but is still in the store's list: after a restart of
 // the others it was taken for the promoter of a group, and nobody replaced a lost primary.
 Test(updates, aListedHostThatLeftGetsNoDuty, .timeout = 120) {
