Let few hosts watch the store, also when a hub does not

Since two hubs of a data centre watch the store, the leaves of the other hubs heard of no recent answer and watched it themselves; so did all hosts while the store was down. Change: updates pass on when the store last answered anyone; while nobody has an answer, hubs and three leaves of each data centre try. Test: fewHostsCallTheStore (fails on the code before).

--- a/src/hubs.h
+++ b/src/hubs.h
@@ -18,6 +18,9 @@
   Millis m_ReplaceAfter{20000};
   // Hubs of each data centre that watch the store. The others hear of changes from them.
   uint32_t m_WatchersPerDataCentre = 2;
+  // Leaves of each data centre that watch the store while nobody else has an answer from it, as
+  // when it refuses all hubs.
+  uint32_t m_FallbackWatchersPerDataCentre = 3;
   // A leaf that last saw its home hub two report intervals ago reports to all hubs, since it knows
   // about the others only from its home hub.
   Millis m_HomeTimeout{450};
@@ -71,4 +74,9 @@
                const std::set<std::string> &WithoutStore, TimePoint Now,
                const MembershipSettings &Settings, const HubSettings &HubConfig);
 
+// Whether this host watches the store while no other host has an answer from it: hubs, isolated
+// hosts and a few leaves of each data centre.
+bool isFallbackWatcher(const Membership &Members, const HubRoles &Roles,
+                       const HubSettings &HubConfig);
+
 } // namespace quetzalpaddle
--- a/src/line_host.h
+++ b/src/line_host.h
@@ -339,6 +339,10 @@
 Awaitable<void> syncConfig(LineHost &Host);
 Awaitable<void> syncInstances(LineHost &Host);
 Awaitable<void> registerHost(LineHost &Host);
+// Returns whether this host watches the store. Two hubs of each data centre do; while no host that
+// this one hears of has had an answer lately, the other hubs and a few leaves try as well.
+bool shouldWatchStore(const LineHost &Host, TimePoint Now);
+
 // Returns whether callers may be served with the configuration: it is confirmed, or nothing has
 // confirmed it for so long that neither the store nor another host can be reached.
 bool canUseConfig(const LineHost &Host, TimePoint Now);
--- a/src/line_sync.cpp
+++ b/src/line_sync.cpp
@@ -49,7 +49,7 @@
 // A withdrawn key is remembered for this long, which is longer than any transaction.
 constexpr std::chrono::minutes WithdrawnKeyRetention{2};
 
-bool isOwnWatcher(const LineHost &Host) {
+bool isOwnWatcher(const LineHost &Host, TimePoint Now) {
   std::set<std::string> WithoutStore;
   for (const auto &[Id, Peer] : Host.m_GossipStates)
     if (Peer.m_IsWithoutStore)
@@ -59,7 +59,7 @@
 }
 
 Duration nextRetryDelay(LineHost &Host, Duration &RetryDelay) {
-  Duration MaxDelay = isOwnWatcher(Host) ? MaxRetryDelay : MaxFallbackRetryDelay;
+  Duration MaxDelay = isOwnWatcher(Host, bootNow()) ? MaxRetryDelay : MaxFallbackRetryDelay;
   RetryDelay = std::clamp<Duration>(RetryDelay * 2, MinRetryDelay, MaxDelay);
   return RetryDelay / 2 + Duration(Host.m_Random() % (RetryDelay.count() / 2));
 }
@@ -240,18 +240,6 @@
   applyInstanceChanges(Host, List);
 }
 
-bool shouldWatchStore(const LineHost &Host) {
-  TimePoint Now = bootNow();
-  bool IsStarting =
-      Now - Host.m_StartedAt < (Host.m_Store.m_HasHostList ? StartupWait : HostListWait);
-  if (IsStarting && (!Host.m_Store.m_HasHostList || !isOwnWatcher(Host)))
-    return false;
-  return isOwnWatcher(Host) || std::ranges::none_of(Host.m_GossipStates, [&](const auto &Entry) {
-           return Now - Entry.second.m_LastStoreAnswerAt < MaxStoreAnswerAge &&
-                  Now - Entry.second.m_LastSeenAt < Host.m_MembershipSettings.m_LastSeenTimeout;
-         });
-}
-
 // Lists the objects of a kind, then watches their changes. Lists them once more if the store no
 // longer has the history since the last revision. NoteCurrent is called when what was applied is
 // known to be the newest.
@@ -263,7 +251,7 @@
   bool MayBeOld = false; // the list was; the first watch fetches what it lacks without a wait
   uint64_t Revision = 0; // 0 = the next call is a list
   for (bool IsFirst = true;; IsFirst = false) {
-    if (!IsFirst && RetryDelay == Duration::zero() && !shouldWatchStore(Host)) {
+    if (!IsFirst && RetryDelay == Duration::zero() && !shouldWatchStore(Host, bootNow())) {
       Revision = 0;
       co_await sleepFor(Host.m_Io, WatchCheckInterval);
       continue;
@@ -424,6 +412,20 @@
           {{"hosts", std::to_string(Host.m_Members.m_Hosts.size())}});
 }
 
+bool shouldWatchStore(const LineHost &Host, TimePoint Now) {
+  bool IsStarting =
+      Now - Host.m_StartedAt < (Host.m_Store.m_HasHostList ? StartupWait : HostListWait);
+  bool IsWatcher = isOwnWatcher(Host, Now);
+  if (IsStarting && !(Host.m_Store.m_HasHostList && IsWatcher))
+    return false;
+  bool IsAnsweredToOthers = std::ranges::any_of(Host.m_GossipStates, [&](const auto &Entry) {
+    return Now - Entry.second.m_LastStoreAnswerAt < MaxStoreAnswerAge &&
+           Now - Entry.second.m_LastSeenAt < Host.m_MembershipSettings.m_LastSeenTimeout;
+  });
+  return IsWatcher || (!IsAnsweredToOthers &&
+                       isFallbackWatcher(Host.m_Members, Host.m_Roles, Host.m_HubSettings));
+}
+
 bool canUseConfig(const LineHost &Host, TimePoint Now) {
   return Host.m_Config &&
          (Host.m_IsConfigConfirmed || Now - Host.m_StartedAt > ConfirmationTimeout);
--- a/src/line_updates.cpp
+++ b/src/line_updates.cpp
@@ -311,6 +311,15 @@
   }
 }
 
+// Returns when the store last answered this host, or another one as far as this host has heard. A
+// leaf hears of the watchers through its home hub, which may be none.
+TimePoint newestStoreAnswer(const LineHost &Host) {
+  TimePoint Newest = Host.m_Store.m_LastAnswerAt;
+  for (const auto &[Id, Peer] : Host.m_GossipStates)
+    Newest = std::max(Newest, Peer.m_LastStoreAnswerAt);
+  return Newest;
+}
+
 // Returns what every update of this host contains.
 line::Gossip makeUpdate(LineHost &Host, const Draft &Update) {
   line::Gossip Message;
@@ -329,9 +338,10 @@
   Message.set_config_confirmed(Host.m_IsConfigConfirmed);
   Message.set_without_store(Host.m_Store.m_LastAnswerAt != TimePoint{} &&
                             !Host.m_Store.m_IsReachable);
-  if (Host.m_Store.m_LastAnswerAt != TimePoint{})
-    Message.set_store_age_ms(static_cast<uint32_t>(
-        duration_cast<Millis>(Update.m_Now - Host.m_Store.m_LastAnswerAt).count() + 1));
+  TimePoint StoreAnswerAt = newestStoreAnswer(Host);
+  if (StoreAnswerAt != TimePoint{})
+    Message.set_store_age_ms(
+        static_cast<uint32_t>(duration_cast<Millis>(Update.m_Now - StoreAnswerAt).count() + 1));
   return Message;
 }
 
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -289,6 +289,19 @@
          HubConfig.m_WatchersPerDataCentre;
 }
 
+bool isFallbackWatcher(const Membership &Members, const HubRoles &Roles,
+                       const HubSettings &HubConfig) {
+  if (Roles.m_IsHub || Roles.m_IsIsolated)
+    return true;
+  uint64_t OwnScore = scoreHost(Members.m_Self, WatcherScoreName);
+  auto LeavesBefore = std::ranges::count_if(Members.m_Hosts, [&](const auto &Entry) {
+    return Entry.second.m_DataCentre == Members.m_DataCentre &&
+           !Roles.m_Hubs.contains(Entry.first) &&
+           scoreHost(Entry.first, WatcherScoreName) > OwnScore;
+  });
+  return static_cast<size_t>(LeavesBefore) < HubConfig.m_FallbackWatchersPerDataCentre;
+}
+
 std::vector<std::string> chooseNeighbours(const Membership &Members, TimePoint Now,
                                           const MembershipSettings &Settings) {
   // Hosts of the own data centre are included even if they are unusable, because only an exchange
--- a/tests/updates_test.cpp
+++ b/tests/updates_test.cpp
@@ -330,6 +330,42 @@
   }
 }
 
+// The store answers the hosts that watch it, and later none. Guards against a leaf that watches the
+// store because its home hub does not, 295 times, and against a fleet that all asks a store that is
+// down.
+Test(updates, fewHostsCallTheStore, .timeout = 60) {
+  Fleet F;
+  FleetOptions Options;
+  Options.m_HostCount = 120;
+  Options.m_GroupCount = 24; // five hubs in each data centre
+  startFleet(F, Options);
+  auto RunStore = [&](bool IsUp, Duration Time) {
+    size_t MostWatchers = 0;
+    for (TimePoint End = F.m_Now + Time; F.m_Now < End;) {
+      runFleet(F, Millis(200));
+      size_t Watchers = 0;
+      for (auto &[Id, Host] : F.m_Hosts)
+        if (shouldWatchStore(*Host, F.m_Now)) {
+          ++Watchers;
+          Host->m_Store.m_LastAnswerAt = IsUp ? F.m_Now : Host->m_Store.m_LastAnswerAt;
+        }
+      MostWatchers = std::max(MostWatchers, Watchers);
+    }
+    return MostWatchers;
+  };
+  for (auto &[Id, Host] : F.m_Hosts) {
+    Host->m_StartedAt = F.m_Now - Millis(10000);
+    Host->m_Store.m_HasHostList = true;
+    Host->m_Store.m_LastAnswerAt = F.m_Now;
+    Host->m_Store.m_IsReachable = true;
+  }
+  RunStore(true, Millis(2000));
+  cr_assert_eq(RunStore(true, std::chrono::seconds(15)), 8, "two of each data centre");
+  // 20 hubs and 12 leaves.
+  size_t FallbackCount = RunStore(false, std::chrono::seconds(20));
+  cr_assert(FallbackCount > 20 && FallbackCount <= 32, "%zu hosts", FallbackCount);
+}
+
 // All hosts restart from a list that is seconds old, in which a withdrawn key is still valid.
 // Guards against serving callers before the store or another host has shown whether it is the
 // newest.
