--- a/src/line_sync.cpp
+++ b/src/line_sync.cpp
@@ -1,7 +1,7 @@
 // Synchronizes configuration, instances and hosts with the platform's object store.
 //
 // A few hosts watch the configuration and the list of instances. The others get both from them
-// (line_gossip.cpp requests newer data), and watch the store themselves only while no host that
+// (line_updates.cpp says when to ask them), and watch the store themselves only while no host that
 // they know of has had a recent answer from it. A configuration has a version and is never replaced
 // by an older one. A list of instances replaces the previous list. Entries may be missing from it
 // just after the store was unavailable, so their removal is delayed then.
