--- a/src/line_sync.cpp
+++ b/src/line_sync.cpp
@@ -54,7 +54,7 @@
   for (const auto &[Id, Peer] : Host.m_GossipStates)
     if (Peer.m_IsWithoutStore)
       WithoutStore.insert(Id);
-  return isWatcher(Host.m_Members, Host.m_Roles, WithoutStore, bootNow(), Host.m_MembershipSettings,
+  return isWatcher(Host.m_Members, Host.m_Roles, WithoutStore, Now, Host.m_MembershipSettings,
                    Host.m_HubSettings);
 }
 
--- a/tests/updates_test.cpp
+++ b/tests/updates_test.cpp
@@ -129,11 +129,13 @@
 // Lets dispatchers answer and callers arrive for one step.
 void runTraffic(Fleet &F) {
   std::vector<LineHost *> Hosts;
+  Hosts.reserve(F.m_Hosts.size());
   for (auto &[Id, Host] : F.m_Hosts)
     Hosts.push_back(Host.get());
   double Expected = F.m_Options.m_RequestsPerSecond * std::chrono::duration<double>(Step).count();
-  for (size_t Count = static_cast<size_t>(Expected + (F.m_Random() % 1000) / 1000.0); Count > 0;
-       --Count) {
+  for (size_t Count =
+           static_cast<size_t>(Expected + static_cast<double>(F.m_Random() % 1000) / 1000.0);
+       Count > 0; --Count) {
     LineHost &Host = *Hosts[F.m_Random() % Hosts.size()];
     std::string Customer = customerName(F.m_Random() % F.m_Options.m_CustomerCount);
     cr_assert(admitCustomerRequest(Host.m_Usage, Customer, F.m_Now));
