--- a/testing/line_demo.py
+++ b/testing/line_demo.py
@@ -18,7 +18,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
-from line_standins import System  # noqa: E402
+from line_standins import ODD_ENTRIES, System  # noqa: E402
 
 
 class Caller:
@@ -75,15 +75,25 @@
         self.process = subprocess.Popen([self.program, "entry", self.settings_file.name],
                                         stdout=self.log_file, stderr=self.log_file)
 
-    async def is_ready(self):
+    async def get(self, path):
+        """Returns the answer of the admin address, empty if there is none."""
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", self.admin_port)
-            writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-            line = await reader.readline()
+            writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
+            answer = await reader.read()
             writer.close()
-            return b" 200 " in line
+            return answer.decode()
         except OSError:
-            return False
+            return ""
+
+    async def is_ready(self):
+        return " 200 " in (await self.get("/ready")).partition("\n")[0]
+
+    async def shows_leaving(self, instance):
+        """Returns whether the host's state dump shows an instance as leaving."""
+        dump = json.loads((await self.get("/dump")).partition("\r\n\r\n")[2] or "{}")
+        instances = dump.get("groups", {}).get(instance.group.name, {}).get("instances", {})
+        return instances.get(instance.id, {}).get("leaving")
 
 
 async def wait_until(condition, description, timeout=10):
@@ -183,6 +193,7 @@
             if rng.random() < 0.5:
                 writer.transport.abort()
     await asyncio.sleep(1)
+    await check_odd_entries(system, hosts)
     old_primary = system.groups["g1"].primary()
     old_primary.kill()
     await wait_until(lambda: is_replaced(system, old_primary), "another primary")
@@ -194,6 +205,25 @@
     print("outcomes of writes under faults:", outcomes)
 
 
+async def check_odd_entries(system, hosts):
+    """Hosts have to go on and follow the other entries, each time that another writer leaves one."""
+    replica = next(instance for instance in system.groups["g2"].instances.values()
+                   if instance.role == "replica")
+    for number, text in enumerate(ODD_ENTRIES):
+        await system.store.put_text("servers", f"odd{number}", text)
+        replica.draining = not replica.draining
+        await replica.register()
+
+        async def is_followed():
+            return all([await host.shows_leaving(replica) == replica.draining for host in hosts
+                        if host.process.poll() is None])
+        await wait_until(is_followed, f"the list is followed beside {text[:60]}", 3)
+        for host in hosts:
+            assert host.process.poll() is None, f"a host ended at {text[:60]}"
+    replica.draining = False
+    await replica.register()
+
+
 async def is_replaced(system, old_primary):
     new_primary = system.groups["g1"].primary()
     return new_primary is not None and new_primary is not old_primary
--- a/testing/line_soak.py
+++ b/testing/line_soak.py
@@ -24,7 +24,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 import line_demo  # noqa: E402
-from line_standins import System  # noqa: E402
+from line_standins import ODD_ENTRIES, System  # noqa: E402
 
 # seed -> cause of the failure that it reproduced
 REGRESSIONS = {}
@@ -147,7 +147,7 @@
     async def inject_faults(self, deadline):
         """Starts faults at random intervals, some before the previous one has ended."""
         while time.monotonic() < deadline:
-            asyncio.ensure_future(self.inject_fault(self.rng.randrange(10)))
+            asyncio.ensure_future(self.inject_fault(self.rng.randrange(11)))
             await asyncio.sleep(self.rng.uniform(0.2, 1.5))
 
     async def inject_fault(self, kind):
@@ -185,6 +185,10 @@
             instance.answers_to_lose = rng.randrange(1, 4)
         elif kind == 9:
             await self.system.configure(line_demo.KEYS, line_demo.ROUTES)
+        elif kind == 10:
+            await self.system.store.put_text("servers", "odd", rng.choice(ODD_ENTRIES))
+            await asyncio.sleep(pause)
+            await self.system.store.delete("servers", "odd")
 
     async def check_final_state(self):
         """Ends all faults; checks that acknowledged writes are stored and statements ran once."""
--- a/testing/line_standins.py
+++ b/testing/line_standins.py
@@ -4,12 +4,27 @@
 
 They reproduce what callers can observe: terms and positions, a primary and replicas that lag,
 acknowledgement by one replica, pinned transactions, values and prepared names of connections, and
-error codes. Faults are injected with kill(), revive(), replay_lag, answers_to_lose and
-Store.stop().
+error codes. Faults are injected with kill(), revive(), replay_lag, answers_to_lose, Store.stop()
+and Store.put_text().
 """
 import asyncio
 import itertools
 import json
+import re
+
+
+# Entries as another writer may leave them among those of the instances: JSON texts of objects.
+ODD_ENTRIES = [
+    '{"meta":{"name":"odd","revision":3},"spec":' + "[" * 50000 + "]" * 50000 + "}",
+    '{"meta":' + '{"a":' * 100000 + "1" + "}" * 100000 + "}",
+    '{"meta":{"name":"odd","revision":3},"spec":{"service":"g1","address":"127.0.0.1:80",'
+    '"zoneId":"north","capacity":1e999,"serverState":"in_service","dbRole":"primary"}}',
+    '{"meta":{"name":"odd","revision":3},"spec":{"service":"g1","address":"127.0.0.1:99999",'
+    '"zoneId":"north","capacity":3,"serverState":"in_service","dbRole":"primary"}}',
+    '{"meta":{"name":"odd","revision":-4},"spec":{"service":"g1","address":"127.0.0.1:80",'
+    '"zoneId":"north","capacity":-1,"serverState":"in_service","dbRole":"primary"}}',
+    '{"meta":{"name":7},"spec":null}', "7", "null", '"]}"', "{}",
+]
 
 
 class Store:
@@ -18,7 +33,7 @@
     def __init__(self):
         self.objects, self.history, self.revision = {}, [], 1
         self.changed, self.is_running, self.call_count = asyncio.Condition(), True, 0
-        self.connections = set()
+        self.connections, self.texts = set(), []
 
     async def put(self, kind, name, spec, revision=None):
         key, existing = (kind, name), self.objects.get((kind, name))
@@ -44,6 +59,21 @@
             async with self.changed:
                 self.changed.notify_all()
 
+    async def put_text(self, kind, name, text):
+        """Stores an entry that is returned as the given text, whatever it is."""
+        self.revision += 1
+        self.texts.append(text)
+        entry = {"text": len(self.texts) - 1}
+        self.objects[(kind, name)] = entry
+        self.history.append((self.revision, kind, entry, False))
+        async with self.changed:
+            self.changed.notify_all()
+
+    def encode(self, reply):
+        """Returns the reply as JSON, with the texts of put_text() in their places."""
+        insert = lambda match: self.texts[int(match.group(1))]
+        return re.sub(r'\{"text": (\d+)\}', insert, json.dumps(reply)).encode()
+
     async def handle_request(self, method, path, query, body):
         parts = path.split("/")[3:]
         kind, name = parts[0], parts[1] if len(parts) > 1 else None
@@ -102,7 +132,7 @@
             else:
                 status, reply = await store.handle_request(method, path, query,
                                                            json.loads(body) if body else None)
-            content = json.dumps(reply).encode()
+            content = store.encode(reply)
             writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
                          f"Content-Length: {len(content)}\r\n\r\n".encode() + content)
             await writer.drain()
