--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,5 @@
-"""One replica is cut off from the store, and its entry is removed after three check-in intervals;
-it still receives and acknowledges. Then the other replica receives nothing for a while, and the
-primary crashes meanwhile."""
+"""The host that has ordered a promotion is killed before the answer; the order is carried out 8 s
+later, when the old primary is back and another holder of the duty has resumed the replicas."""
 import asyncio
 import pathlib
 import sys
@@ -8,11 +7,10 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common"))
 import harness  # noqa: E402
 
-CHECK_IN_SECONDS = 1.2   # heartbeatMs of both sites
-CUT_SECONDS = 5.0
-DEAF_AFTER = 4.1         # after the cut began; the entry is removed 3.6 s after that
-CRASH_AFTER = 4.6
-BACK_AFTER = 6.1         # the first check-in after the cut
+CRASH_SECONDS = 3.0
+KILL_SECONDS = 1.2   # from the order to the kill
+LATE_SECONDS = 8.0   # from the order to its execution
+DEAF_SECONDS = 3.0   # the candidate receives nothing for this long before that
 
 
 async def scenario(system, hosts):
@@ -20,36 +18,39 @@
         await asyncio.sleep(20)
         return
     record, group = system.record, system.group
+    ordered = asyncio.get_running_loop().create_future()
+
+    async def lose_first_order(instance, holder, token):
+        if ordered.done():
+            return None
+        record.write(f"promotion of {instance} is ordered by {holder}, token {token}: no answer, "
+                     f"it is carried out {LATE_SECONDS} s later")
+        ordered.set_result((instance, holder, token))
+        await asyncio.sleep(60)  # the connection returns nothing further
+    system.on_order = lose_first_order
+
     primary = system.primary()
-    cut, other = (one for one in group.instances.values() if one is not primary)
-    start = asyncio.get_running_loop().time()
-
-    async def sleep_until(seconds):
-        await asyncio.sleep(start + seconds - asyncio.get_running_loop().time())
-    record.write(f"{cut.id} is cut off from the store; callers' hosts and instances reach it")
-    await sleep_until(3 * CHECK_IN_SECONDS)
-    await system.store.delete("servers", cut.id)
-    record.write(f"the entry of {cut.id} is removed after three check-in intervals")
-    await sleep_until(DEAF_AFTER)
-    record.write(f"{other.id} receives nothing, its log ends at {other.received_position()}")
-    other.deaf = True
-    await sleep_until(CRASH_AFTER)
-    record.write(f"{primary.id}, the primary, crashes; its log ends at "
-                 f"{primary.received_position()}, that of {cut.id} at {cut.received_position()}")
+    record.write(f"{primary.id}, the primary, crashes")
     primary.kill()
-    await sleep_until(CUT_SECONDS)
-    record.write(f"{cut.id} reaches the store again")
-    await sleep_until(BACK_AFTER)
-    await cut.register()
-    record.write(f"the entry of {cut.id} is back")
-    await sleep_until(8)
-    other.deaf = False
-    record.write(f"{other.id} receives again")
-    await sleep_until(CRASH_AFTER + 6)
-    primary.revive()
-    await primary.register()
-    record.write(f"{primary.id} is back with its log")
-    await sleep_until(16)
-
-
-asyncio.run(harness.run_case(pathlib.Path(__file__).parent, 3, scenario, 22))
+    back = asyncio.get_running_loop().call_later(CRASH_SECONDS, lambda: (
+        record.write(f"{primary.id} is back with its log"), primary.revive()))
+    instance, holder, token = await asyncio.wait_for(ordered, 6)
+    holder_host = next(host for host in hosts if host.name == holder)
+    await asyncio.sleep(KILL_SECONDS)
+    holder_host.kill()
+    await asyncio.sleep(harness.RESTART_SECONDS)
+    holder_host.start()
+    await asyncio.sleep(LATE_SECONDS - DEAF_SECONDS - harness.RESTART_SECONDS -
+                        KILL_SECONDS)
+    candidate = group.instances[instance]
+    record.write(f"{candidate.id} receives nothing")
+    candidate.deaf = True
+    await asyncio.sleep(DEAF_SECONDS)
+    await group.promote(instance, token, holder, ", carried out late")
+    await asyncio.sleep(2)
+    candidate.deaf = False
+    record.write(f"{candidate.id} receives again")
+    await asyncio.sleep(4)
+
+
+asyncio.run(harness.run_case(pathlib.Path(__file__).parent, 3, scenario, 24))
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,10 +1,10 @@
-"""Instances lose the answers of a few of the requests that they ran. Callers read on a `primary`
-route; a read succeeds only with the instance's digest and rows."""
+"""A host gets SIGTERM, once, while callers have transactions open whose statements come with
+pauses. Statements that the host reads and passes on late in the grace period get no answer."""
 import asyncio
-import contextvars
 import os
 import pathlib
 import random
+import signal
 import sys
 import tempfile
 import time
@@ -13,121 +13,75 @@
 sys.path.insert(0, str(FOLDER.resolve().parents[0] / "common"))
 import harness  # noqa: E402
 
-CALLERS = 6
-SECONDS = 12.0
-LOST_SHARE = 0.025   # of the requests that ran, as in the site's `answer_lost`
-LOSS_SECONDS = 5.5   # as there
+CALLERS = 44
+STATEMENTS = 12        # of a transaction, the most that the pages name
+PAUSE_SECONDS = 0.55   # between them; less than txIdleMs
+WORK_SECONDS = 0.055   # of a statement at the instance, as cert-lookup has
+GRACE_SECONDS = 6      # graceS; SIGKILL follows then
 
-current_writer = contextvars.ContextVar("current_writer")
-
-
-class LossyWriter:
-    """Drops one answer, up to its READY; the answers that follow are sent."""
-
-    def __init__(self, writer):
-        self.writer, self.is_dropping = writer, False
-
-    def write(self, data):
-        if not self.is_dropping:
-            self.writer.write(data)
-        elif data.startswith(b"READY"):
-            self.is_dropping = False
-
-    def __getattr__(self, name):
-        return getattr(self.writer, name)
-
-
-class LossyInstance(harness.Instance):
-    async def serve(self, reader, writer):
-        lossy = LossyWriter(writer)
-        current_writer.set(lossy)
-        await super().serve(reader, lossy)
 
+class SlowInstance(harness.Instance):
     async def run(self, session, query_id, text, send):
-        if query_id != "-" and text.startswith("READ") and \
-                time.monotonic() < self.group.lossy_until and random.random() < LOST_SHARE:
-            self.group.record.write(f"{self.id} runs {query_id} {text}; its answer is lost")
-            current_writer.get().is_dropping = True
+        if query_id != "-":
+            self.group.started[query_id] = time.monotonic()
+            await asyncio.sleep(WORK_SECONDS)
         return await super().run(session, query_id, text, send)
 
 
-class Caller(harness.Caller):
-    async def run(self, query_id, text):
-        """Returns the error code, the rows and the digest."""
-        self.writer.write(f"QUERY {query_id} {text}\r\n".encode())
-        error, rows, digest = "", [], None
-        while True:
-            line = (await self.reader.readline()).decode().rstrip("\r\n")
-            word, _, rest = line.partition(" ")
-            if word == "ROW":
-                rows.append(rest)
-            elif word == "COMPLETE":
-                digest = rest
-            elif word == "ERROR":
-                error = rest.split(" ")[0]
-            elif word == "READY":
-                return error, rows, digest
-            elif not line:
-                return "CLOSED", rows, digest
-
-
 class Run:
     def __init__(self, system):
-        self.system, self.read_count, self.wrong = system, 0, []
-
-    async def read_back(self, host, number, deadline):
-        """Writes an item and reads it, again and again; nobody else writes it."""
-        value = 0
-        while time.monotonic() < deadline:
-            caller = Caller(host)
-            try:
-                if not await caller.open():
-                    raise ConnectionError
-                while time.monotonic() < deadline:
-                    value += 1
-                    item, text = f"r{number}", f"{number}x{value}"
-                    error, _, _ = await self.send(caller, f"WRITE {item} {text}")
-                    if error:
-                        raise ConnectionError
-                    for _ in range(4):
-                        error, rows, digest = await self.send(caller, f"READ {item}")
-                        if error:
-                            raise ConnectionError
-                        self.check(item, text, rows, digest)
-            except (ConnectionError, OSError, asyncio.TimeoutError):
-                await asyncio.sleep(0.1)
-            finally:
-                if hasattr(caller, "writer"):
-                    caller.close()
+        self.system, self.stopped_at, self.unanswered, self.answered = system, None, [], 0
 
     async def send(self, caller, text):
         query_id = f"{random.getrandbits(64):016x}"
-        answer = await asyncio.wait_for(caller.run(query_id, text), 8)
-        self.last = f"{query_id} {text} by {caller.host.name}: {answer}"
-        if text.startswith("READ") or answer[0]:
-            self.system.record.write(self.last)
-        return answer
-
-    def check(self, item, expected, rows, digest):
-        self.read_count += 1
-        is_signed = digest in {f"d.{name}" for name in self.system.group.instances}
-        if rows != [expected] or not is_signed:
-            self.wrong.append(item)
-            self.system.record.write(f"MIXED: a success for READ {item} with rows {rows} and digest "
-                                     f"{digest}; the item holds {expected}")
+        sent_at = time.monotonic()
+        try:
+            error, _ = await caller.run(query_id, text)
+        except ConnectionError:
+            error = "CLOSED"
+        if error != "CLOSED":
+            self.answered += 1
+            return error
+        started = self.system.group.started.get(query_id)
+        after = lambda at: f"{at - self.stopped_at:.3f} s after SIGTERM" if self.stopped_at else "?"
+        self.system.record.write(
+            f"{query_id} {text}: sent {after(sent_at)}, "
+            f"{'an instance began to run it ' + after(started) if started else 'not passed on'}, "
+            f"the connection ended without an answer {after(time.monotonic())}")
+        # The rule counts what was passed on to an instance. What was sent within the first 3 s may
+        # be cut while the instance is at work in the last sixth of the grace period.
+        if started and (not self.stopped_at or sent_at - self.stopped_at > 3):
+            self.unanswered.append(query_id)
+        return error
+
+    async def run_transaction(self, host, number):
+        caller = harness.Caller(host)
+        await caller.open()
+        await asyncio.sleep(random.uniform(0, PAUSE_SECONDS))
+        error = await self.send(caller, "BEGIN")
+        for step in range(STATEMENTS - 2):
+            if error:
+                break
+            await asyncio.sleep(PAUSE_SECONDS * random.uniform(0.9, 1.3))
+            error = await self.send(caller, f"READ t{number}-{step}")
+        if not error:
+            await asyncio.sleep(PAUSE_SECONDS)
+            error = await self.send(caller, "COMMIT")
+        self.system.record.write(f"transaction {number} by {host.name} ended with {error or 'success'}")
+        caller.close()
 
 
 async def main():
     record, status = harness.Record(FOLDER), 2
     temporary = tempfile.TemporaryDirectory()
-    harness.Instance = LossyInstance
+    harness.Instance = SlowInstance
     system, hosts = harness.System(record), []
-    system.group.lossy_until = 0
+    system.group.started = {}
     addresses = [f"127.0.{random.randrange(1, 250)}.{n + 1}" for n in range(2)]
     try:
         await system.start()
         port = harness.find_common_port(addresses)
-        hosts += [harness.Host(n, system.zones[n], system, addresses[n], port,
+        hosts += [harness.Host(n, "north", system, addresses[n], port,
                                [f"{address}:{port}" for address in addresses], temporary.name)
                   for n in range(2)]
         for host in hosts:
@@ -135,20 +89,25 @@
         for host in hosts:
             await harness.wait_until(host.is_ready, "a ready host", 20)
         await asyncio.sleep(3)
-        run, deadline = Run(system), time.monotonic() + SECONDS
-        callers = [asyncio.ensure_future(run.read_back(hosts[number % 2], number, deadline))
-                   for number in range(CALLERS)]
-        await asyncio.sleep(2)
+        run = Run(system)
+        transactions = [asyncio.ensure_future(run.run_transaction(hosts[0], number))
+                        for number in range(CALLERS)]
+        await asyncio.sleep(0.6)  # each has begun its transaction
         if harness.TROUBLE:
-            record.write(f"for {LOSS_SECONDS} s, instances lose the answers of {LOST_SHARE:.1%} of "
-                         f"the reads that they ran")
-            system.group.lossy_until = time.monotonic() + LOSS_SECONDS
-        await asyncio.gather(*callers)
-        record.write(f"{run.read_count} reads succeeded, {len(run.wrong)} of them without the "
-                     f"instance's digest or with other rows")
-        if run.read_count < 200:
-            raise TimeoutError("too few reads succeeded")
-        status = 1 if run.wrong else 0
+            hosts[0].process.send_signal(signal.SIGTERM)
+            run.stopped_at = time.monotonic()
+            record.write(f"{hosts[0].name} gets SIGTERM")
+            while hosts[0].process.poll() is None and \
+                    time.monotonic() - run.stopped_at < GRACE_SECONDS:
+                await asyncio.sleep(0.01)
+            record.write(f"{hosts[0].name} ended by itself with {hosts[0].process.poll()}, "
+                         f"{time.monotonic() - run.stopped_at:.3f} s after SIGTERM")
+        await asyncio.gather(*transactions)
+        record.write(f"{run.answered} statements were answered, {len(run.unanswered)} that were "
+                     f"passed on to an instance, and sent later than 3 s after SIGTERM, were not")
+        if run.answered < CALLERS:
+            raise TimeoutError("too few statements were answered")
+        status = 1 if run.unanswered else 0
     except (TimeoutError, OSError) as error:
         record.write(f"the case could not run: {error}")
     finally:
@@ -156,10 +115,12 @@
             if host.process and host.process.poll() is None:
                 host.process.kill()
                 host.process.wait()
+        for line in pathlib.Path(hosts[0].log.name).read_text().splitlines():
+            if "event=stop" in line:
+                record.file.write(f"log {line}\n")
         record.file.close()
         temporary.cleanup()
-    print({0: "held: every read had its rows and digest", 1: "broken: MIXED",
-           2: "did not run"}[status])
+    print({0: "held: every statement was answered", 1: "broken: LOST", 2: "did not run"}[status])
     sys.stdout.flush()
     os._exit(status)
 
