Log what a promotion rests on

takeover_candidate now names each replica with its position and the term up to which it reports to be suspended, the replicas without an answer, and the newest confirmed position; replicas_resumed says why, also after an attempt; promotion_unanswered counts orders that may come late. The status row's suspension term is parsed and not used in a decision yet. Checked by line_codec_test; no behaviour is meant to change.

--- a/src/line_config.h
+++ b/src/line_config.h
@@ -101,6 +101,7 @@
   bool m_IsPrimary = false;
   uint64_t m_Term = 0;
   Position m_ReceivedPosition;
+  uint64_t m_SuspendTerm = 0; // it receives nothing on behalf of lower terms; 0: it receives
 };
 
 } // namespace quetzalpaddle
--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -12,6 +12,8 @@
 #include "platform/line_codec.h"
 #include "platform/store_client.h"
 
+#include <fmt/format.h>
+
 namespace quetzalpaddle {
 
 namespace asio = boost::asio;
@@ -145,6 +147,48 @@
            {"why", std::move(ReasonText)}});
 }
 
+// Lists the replicas of an attempt for logs: term and number of the position received, and the term
+// up to which it is suspended.
+std::string describeReplicas(const std::map<std::string, LineStatus> &Replicas) {
+  std::string Text;
+  for (const auto &[Id, Status] : Replicas)
+    Text +=
+        fmt::format("{}{}:{}.{}/{}", Text.empty() ? "" : " ", Id, Status.m_ReceivedPosition.m_Term,
+                    Status.m_ReceivedPosition.m_Index, Status.m_SuspendTerm);
+  return Text;
+}
+
+// Lists the replicas that gave no answer for logs, with the time since they left the list.
+std::string describeMissing(const LineGroup &Group, const std::set<std::string> &Ids) {
+  std::string Text;
+  for (const std::string &Id : Ids) {
+    auto It = Group.m_Instances.find(Id);
+    bool IsUnlisted = It != Group.m_Instances.end() && !It->second.m_IsListed;
+    Text += (Text.empty() ? "" : " ") + Id;
+    if (IsUnlisted)
+      Text += fmt::format(":unlisted_ms={}", (bootNow() - It->second.m_UnlistedSince) / Millis(1));
+  }
+  return Text;
+}
+
+// Logs the state on which the choice of a candidate rests.
+void logChoice(const LineGroup &Group, const Takeover &State,
+               const std::map<std::string, LineStatus> &Replicas,
+               const std::set<std::string> &MissingIds, const std::string &Candidate) {
+  auto Newest = newestConfirmedPosition(Group.m_History);
+  logLine(
+      LogLevel::Info, "takeover_candidate",
+      {{"group", Group.m_Name},
+       {"instance", Candidate},
+       {"primary", Group.m_Primary},
+       {"token", std::to_string(State.m_Duty.m_Token)},
+       {"replicas", describeReplicas(Replicas)},
+       {"missing", describeMissing(Group, MissingIds)},
+       {"confirmed",
+        Newest ? fmt::format("{}.{}", Newest->m_Position.m_Term, Newest->m_Position.m_Index) : ""},
+       {"confirmed_ms", Newest ? std::to_string((bootNow() - Newest->m_SentAt) / Millis(1)) : ""}});
+}
+
 // Reads the duty from the store. Its token is 0 if no host has held it yet. Returns nothing if the
 // duty cannot be read or decoded.
 Awaitable<std::optional<PromotionDuty>> readDuty(LineHost &Host, const std::string &Group) {
@@ -265,6 +309,8 @@
                   : Answer == PromotionResult::Refused    ? "refused"
                                                           : "no answer",
                   Candidate);
+      if (Answer == PromotionResult::NoAnswer)
+        countEvent(*Host.m_Metrics, "promotion_unanswered");
       IsAccepted = Answer == PromotionResult::Accepted;
       HasUnansweredOrder = HasUnansweredOrder || Answer == PromotionResult::NoAnswer;
       if (Answer == PromotionResult::Superseded)
@@ -315,6 +361,7 @@
       Host, Group.m_Name, PrimaryIds, std::string(platform::StatusText)));
   if (PrimaryStatuses.empty())
     co_return std::string();
+  logChoice(Group, State, SuspendedStatuses, {}, Candidate);
   Position RequiredPosition = PrimaryStatuses.begin()->second.m_ReceivedPosition;
   std::set<std::string> CandidateIds;
   CandidateIds.insert(Candidate);
@@ -351,7 +398,9 @@
                                     platform::formatSuspend(highestTerm(Statuses) + TermMargin)));
   Responses.m_MissingReplicas =
       listUnansweredReplicas(Group, Group.m_Primary, Responses.m_Replicas);
-  co_return chooseFailoverCandidate(Group, Responses);
+  std::string Candidate = chooseFailoverCandidate(Group, Responses);
+  logChoice(Group, State, Responses.m_Replicas, Responses.m_MissingReplicas, Candidate);
+  co_return Candidate;
 }
 
 Awaitable<void> runTakeover(LineHost &Host, std::string GroupName, TakeoverAction Action) {
@@ -390,8 +439,11 @@
   // Once another host holds the duty, its attempt may depend on the replicas that this one
   // suspended.
   std::set<std::string> SuspendedIds = std::exchange(State.m_SuspendedReplicas, {});
-  if (!SuspendedIds.empty() && co_await holdsDuty(Host, GroupName, State))
+  if (!SuspendedIds.empty() && co_await holdsDuty(Host, GroupName, State)) {
+    logTakeover(Group, State, "replicas_resumed", "attempt ended",
+                fmt::format("{}", fmt::join(SuspendedIds, " ")));
     co_await resumeReplicas(Host, GroupName, SuspendedIds);
+  }
   State.m_IsRunning = false;
   logTakeover(Group, State, IsPromoted ? "takeover_done" : "takeover_failed",
               Candidate.empty() ? "no instance holds every commit for certain" : "", Candidate);
--- a/tests/line_codec_test.cpp
+++ b/tests/line_codec_test.cpp
@@ -78,6 +78,9 @@
   auto Status = parseStatus("replica 3 3.1209 0 12 2 17");
   cr_assert(Status && !Status->m_IsPrimary && Status->m_Term == 3);
   cr_assert(Status->m_ReceivedPosition == (Position{3, 1209}));
+  cr_assert_eq(Status->m_SuspendTerm, 0);
+  Status = parseStatus("replica 3 3.1209 13 12 2 17");
+  cr_assert(Status && Status->m_SuspendTerm == 13);
   cr_assert_eq(formatReady(TransactionState::None, std::nullopt), "READY I -\r\n");
   cr_assert_eq(formatQuery("a", formatAfter({3, 9}, "READ x")), "QUERY a AFTER 3.9 READ x\r\n");
 }
