--- a/testing/line_demo.py
+++ b/testing/line_demo.py
@@ -55,16 +55,18 @@
 
 
 class Host:
-    def __init__(self, program, number, zone, base, system):
+    def __init__(self, program, number, zone, base, system, **other_settings):
+        self.name = f"h{number}"
         self.port, self.admin_port, self.peer_port = \
             base + 100 + number, base + 200 + number, base + 50
         self.peer_ip, self.program = f"127.0.1.{number + 1}", program
-        settings = {"host": f"h{number}", "data_centre": zone,
+        settings = {"host": self.name, "data_centre": zone,
                     "callers": f"127.0.0.1:{self.port}", "admin": f"127.0.0.1:{self.admin_port}",
                     "peer_address": self.peer_ip, "peer_ports": [self.peer_port], "seeds": [],
                     "store": f"127.0.0.1:{system.store_port}",
                     "promotions": f"127.0.0.1:{system.store_port}", "stop_limit_s": 4,
-                    "leaving_limit_ms": 7000, "rate_tolerance": 0.1, "cores": 1}
+                    "leaving_limit_ms": 7000, "rate_tolerance": 0.1, "cores": 1,
+                    **other_settings}
         self.settings_file = tempfile.NamedTemporaryFile("w", suffix=".json")
         json.dump(settings, self.settings_file)
         self.settings_file.flush()
