Give the stand-ins late orders, expiring entries, deaf replicas and replacements

They now follow the published protocol there: SUSPEND needs a term above the instance's newest one and shows in the row until RESUME, a promote or a restart; STEPDOWN; deaf replicas that catch up; replication that goes on without commits; promotions that take effect 1 s after their acceptance, and orders without an answer that are carried out seconds later; entries that expire after three missed check-ins and are back within 2 s after an outage of the store; planned replacements, at a new or at the same address; BUSY during a rollback. A group checks at each promotion that the log holds every write that was noted as acknowledged, and keeps a trace.

--- a/testing/line_standins.py
+++ b/testing/line_standins.py
@@ -3,14 +3,23 @@
 loop.
 
 They reproduce what callers can observe: terms and positions, a primary and replicas that lag,
-acknowledgement by one replica, pinned transactions, values and prepared names of connections, and
-error codes. Faults are injected with kill(), revive(), replay_lag, answers_to_lose, Store.stop()
-and Store.put_text().
+acknowledgement by one replica, pinned transactions, values and prepared names of connections, error
+codes, promotions that take effect later, and entries that expire. Faults are injected with
+Instance.kill(), revive(), deaf, reaches_store, replay_lag and answers_to_lose, System.replace(),
+System.late_share, Store.stop(), start() and put_text(), and the proxies of line_proxy.py.
+
+Group.note_acknowledged() tells a group that a caller was told of a commit. A promotion of an
+instance that lacks such a commit is recorded in Group.lost_writes.
 """
 import asyncio
+import contextlib
 import itertools
 import json
+import random
 import re
+import time
+
+from line_proxy import Proxy
 
 
 # Entries as another writer may leave them among those of the instances: JSON texts of objects.
@@ -34,6 +43,7 @@
         self.objects, self.history, self.revision = {}, [], 1
         self.changed, self.is_running, self.call_count = asyncio.Condition(), True, 0
         self.connections, self.texts = set(), []
+        self.expires_while_down, self.started_at = True, 0.0
 
     async def put(self, kind, name, spec, revision=None):
         key, existing = (kind, name), self.objects.get((kind, name))
@@ -110,6 +120,9 @@
         for writer in set(self.connections):
             writer.transport.abort()
 
+    def start(self):
+        self.is_running, self.started_at = True, time.monotonic()
+
 
 async def serve_http(reader, writer, store, promote):
     if not store.is_running:
@@ -132,6 +145,9 @@
             else:
                 status, reply = await store.handle_request(method, path, query,
                                                            json.loads(body) if body else None)
+            if status is None:  # the answer is lost, and the connection returns nothing further
+                await reader.read()
+                break
             content = store.encode(reply)
             writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
                          f"Content-Length: {len(content)}\r\n\r\n".encode() + content)
@@ -146,57 +162,156 @@
 class Group:
     """A primary and its replicas. A log is a list of (term, number, item, value)."""
 
+    promote_seconds = 1.0  # from the acceptance of an order until it takes effect
+    check_in_seconds = 1.2
+    rollback_seconds = 0.3
+
     def __init__(self, name, store):
         self.name, self.store, self.term = name, store, 1
         self.instances, self.fence_token = {}, 0
+        self.acknowledged_writes, self.lost_writes, self.trace = {}, [], []
+        self.former_logs = {}  # id -> set of (item, value), of instances that have left
+
+    def note(self, text):
+        self.trace.append((time.monotonic(), text))
+
+    def start(self):
+        """Starts what goes on by itself: check-ins, expiry of entries, and replication."""
+        self.tasks = [asyncio.ensure_future(self.keep_entries()),
+                      asyncio.ensure_future(self.keep_replicating())]
 
     def primary(self):
         return next((instance for instance in self.instances.values()
                      if instance.role == "primary"), None)
 
-    async def promote(self, instance_id, token):
+    async def promote(self, instance_id, token, holder="?", called_at=None):
+        order = {"id": instance_id, "token": token, "holder": holder,
+                 "called_at": called_at or time.monotonic(), "accepted_at": time.monotonic()}
+        describe = lambda answer: self.note(f"promotion of {instance_id} ordered by {holder}, "
+                                            f"token {token}: {answer}")
         if token < self.fence_token:
+            describe(f"refused, token {self.fence_token} was seen")
             return 409, {"error": "outrun"}
         self.fence_token = token
         candidate = self.instances.get(instance_id)
         if not candidate or not candidate.is_running:
+            describe("refused, it does not run")
             return 409, {"error": "not running"}
         if candidate.role == "primary":
+            describe("it is the primary already")
             return 200, {}
-        asyncio.get_running_loop().call_later(0.2, lambda: asyncio.ensure_future(
-            self.complete_promotion(candidate)))
+        describe("accepted")
+        asyncio.get_running_loop().call_later(self.promote_seconds, lambda: asyncio.ensure_future(
+            self.complete_promotion(candidate, order)))
         return 200, {}
 
-    async def complete_promotion(self, candidate):
+    async def complete_promotion(self, candidate, order=None):
+        if not candidate.is_running or self.instances.get(candidate.id) is not candidate:
+            self.note(f"promotion of {candidate.id} has no effect, it does not run")
+            return
+        if candidate.role == "primary":
+            return
+        self.check_promoted_log(candidate, order)
         self.term += 1
+        self.note(f"{candidate.id} leads term {self.term} from {candidate.received_position()}")
         for instance in self.instances.values():
-            instance.role, instance.suspended = "replica", False
+            instance.role, instance.held, instance.term = "replica", 0, self.term
             if instance is not candidate:
-                instance.log = [entry for entry in instance.log if entry in candidate.log]
-        candidate.role, candidate.term = "primary", self.term
+                instance.roll_back(candidate.log)
+        candidate.role = "primary"
         candidate.applied = len(candidate.log)
-        for instance in self.instances.values():
+        for instance in list(self.instances.values()):
             await instance.register()
 
+    def find_holders(self, write):
+        """Returns the ids of the instances whose log has the write; in parentheses if they left."""
+        return [instance.id for instance in self.instances.values() if instance.has(write)] + \
+            [f"({name})" for name, writes in self.former_logs.items() if write in writes]
+
+    def check_promoted_log(self, candidate, order):
+        writes = {(entry[2], entry[3]) for entry in candidate.log}
+        for write, acknowledged_at in list(self.acknowledged_writes.items()):
+            if write not in writes:
+                self.add_lost_write(write, acknowledged_at, candidate, order)
+
+    def add_lost_write(self, write, acknowledged_at, candidate, order):
+        del self.acknowledged_writes[write]
+        self.lost_writes.append({
+            "write": write, "acknowledged_at": acknowledged_at, "promoted": candidate.id,
+            "held_by": self.find_holders(write), "order": order, "effect_at": time.monotonic()})
+
+    def note_acknowledged(self, item, value):
+        """Records that a caller was told of the commit of a write."""
+        self.acknowledged_writes[(item, value)] = time.monotonic()
+        primary = self.primary()
+        # The answer may have been under way when another instance took the lead.
+        if primary and not primary.has((item, value)):
+            self.note(f"{item}={value} was acknowledged after the promotion of {primary.id}")
+            self.add_lost_write((item, value), time.monotonic(), primary, None)
+
+    async def keep_entries(self):
+        while True:
+            await asyncio.sleep(0.05)
+            for instance in list(self.instances.values()):
+                await instance.check_in(time.monotonic())
+
+    async def keep_replicating(self):
+        while True:
+            await asyncio.sleep(0.02)
+            primary = self.primary()
+            if primary and primary.is_running:
+                await primary.replicate()
+
 
 class Instance:
+    replication_seconds = 0.002  # one way
+
     def __init__(self, group, instance_id, zone, port, slots=3, replay_lag=0.02):
         self.group, self.id, self.zone, self.port = group, instance_id, zone, port
         self.slots, self.replay_lag, self.role, self.is_running = slots, replay_lag, "replica", True
-        self.log, self.applied, self.term, self.suspended = [], 0, 1, False
-        self.draining, self.answers_to_lose = False, 0
+        self.log, self.applied, self.term = [], 0, group.term
+        self.held = 0  # term up to which it is suspended; 0 if it receives
+        self.deaf, self.reaches_store, self.start_count, self.busy_until = False, True, 1, 0.0
+        self.checked_in_at, self.next_check_in, self.is_listed = time.monotonic(), 0.0, False
+        self.draining, self.answers_to_lose, self.busy_slots = False, 0, 0
         self.slot_semaphore = asyncio.Semaphore(slots)
         self.connections, self.statements, self.peak_connections = set(), [], 0
         group.instances[instance_id] = self
 
+    @property
+    def suspended(self):
+        return self.held > 0
+
     async def register(self):
-        if self.is_running:
+        if self.is_running and self.reaches_store and self.group.store.is_running:
+            self.checked_in_at, self.is_listed = time.monotonic(), True
             await self.group.store.put("servers", self.id, {
                 "service": self.group.name, "address": f"127.0.0.1:{self.port}",
                 "zoneId": self.zone, "version": "v1", "capacity": self.slots,
                 "serverState": "draining" if self.draining else "in_service", "coldMs": 0,
                 "dbRole": self.role, "seqNo": 1})
 
+    async def check_in(self, now):
+        """Writes the entry when it is due, and removes it after three missed check-ins."""
+        store, interval = self.group.store, self.group.check_in_seconds
+        if not store.is_running:
+            self.next_check_in = None
+        elif self.next_check_in is None:
+            self.next_check_in = now + random.uniform(0.05, 1.9)
+        if self.is_running and self.reaches_store and store.is_running and \
+                now >= self.next_check_in:
+            self.next_check_in = now + interval
+            if not self.is_listed:
+                self.group.note(f"the entry of {self.id} is back")
+            await self.register()
+        missed_since = self.checked_in_at if store.expires_while_down else \
+            max(self.checked_in_at, store.started_at)
+        if self.is_listed and now - missed_since > 3 * interval and \
+                (store.is_running or store.expires_while_down):
+            self.is_listed = False
+            self.group.note(f"the entry of {self.id} expires")
+            await store.delete("servers", self.id)
+
     def applied_position(self):
         return f"{self.log[self.applied - 1][0]}.{self.log[self.applied - 1][1]}" \
             if self.applied else f"{self.term}.0"
@@ -205,21 +320,45 @@
         return f"{self.log[-1][0]}.{self.log[-1][1]}" if self.log else f"{self.term}.0"
 
     def kill(self):
+        self.group.note(f"{self.id}, {self.role}, crashes at {self.received_position()}")
         self.is_running = False
         for writer in set(self.connections):
             writer.transport.abort()
 
     def revive(self):
-        self.is_running = True
+        """Starts it again with its log, as a replica if another instance was promoted."""
+        if not self.is_running:
+            self.group.note(f"{self.id}, {self.role}, is back at {self.received_position()}")
+            self.is_running, self.held, self.next_check_in = True, 0, 0.0
+            self.start_count += 1
 
     def get_value(self, item):
         return next((entry[3] for entry in reversed(self.log[:self.applied])
                      if entry[2] == item), "-")
 
+    def has(self, write):
+        return any((entry[2], entry[3]) == write for entry in reversed(self.log))
+
+    def roll_back(self, entries):
+        """Drops what the log has beyond the given one."""
+        length = min(len(self.log), len(entries))
+        while length and self.log[length - 1] != entries[length - 1]:
+            length -= 1
+        if length < len(self.log):
+            del self.log[length:]
+            self.applied = min(self.applied, length)
+            self.busy_until = time.monotonic() + self.group.rollback_seconds
+
     async def receive(self, entries):
-        if self.suspended or not self.is_running:
+        """Receives the log of the primary, from the first entry that this instance lacks."""
+        if self.suspended or self.deaf or not self.is_running:
             return False
-        self.log.extend(entry for entry in entries if entry not in self.log)
+        if len(self.log) > len(entries) or \
+                (self.log and self.log[-1] != entries[len(self.log) - 1]):
+            self.roll_back(entries)
+        if len(self.log) == len(entries):
+            return True
+        self.log.extend(entries[len(self.log):])
         length = len(self.log)
 
         def apply():
@@ -227,27 +366,53 @@
         asyncio.get_running_loop().call_later(self.replay_lag, apply)
         return True
 
+    async def replicate(self):
+        """Sends the log to all others. Returns whether one of them has received it and the
+        primary, which still leads, knows."""
+        start_count, term, length = self.start_count, self.term, len(self.log)
+        leads = lambda: self.is_running and self.role == "primary" and \
+            (self.start_count, self.term) == (start_count, term)
+        await asyncio.sleep(self.replication_seconds)
+        if not leads():
+            return False
+        others = [other for other in self.group.instances.values() if other is not self]
+        # Within one loop step: what one of them has received is not rolled back meanwhile.
+        received = [await other.receive(self.log) for other in others]
+        await asyncio.sleep(self.replication_seconds)
+        return any(received) and leads() and len(self.log) >= length
+
     async def commit(self, writes):
         """Appends the writes and waits until one replica has them, as syncReplicas 1 requires.
 
         Returns False if the instance stops being a running primary before that."""
         number = (self.log[-1][1] if self.log else 0) + 1
-        self.log.extend((self.group.term, number, item, value) for item, value in writes)
+        start_count, term = self.start_count, self.term
+        self.log.extend((term, number, item, value) for item, value in writes)
         self.applied = len(self.log)
-        others = [other for other in self.group.instances.values() if other is not self]
-        while self.is_running and self.role == "primary":
-            if any([await other.receive(self.log) for other in others]):
+        while self.is_running and self.role == "primary" and \
+                (self.start_count, self.term) == (start_count, term):
+            if await self.replicate():
                 return True
             await asyncio.sleep(0.02)
         return False
 
+    @contextlib.asynccontextmanager
+    async def use_slot(self):
+        async with self.slot_semaphore:
+            self.busy_slots += 1
+            try:
+                yield
+            finally:
+                self.busy_slots -= 1
+
     async def serve(self, reader, writer):
         if not self.is_running:
             writer.transport.abort()
             return
         self.connections.add(writer)
         self.peak_connections = max(self.peak_connections, len(self.connections))
-        session = {"tx": None, "state": "I", "values": {}, "prepared": {}, "who": None}
+        session = {"tx": None, "state": "I", "values": {}, "prepared": {}, "who": None,
+                   "is_read_only": False}
         send = lambda text: writer.write((text + "\r\n").encode())
         send_ready = lambda: send(f"READY {session['state']} {self.applied_position()}")
         try:
@@ -259,14 +424,15 @@
                         send(f"ERROR WRONGNODE {self.id}")
                         break
                     session["who"] = customer
-                    async with self.slot_semaphore:
+                    async with self.use_slot():
                         await asyncio.sleep(0.005)
                     send_ready()
                 elif word == "QUERY":
                     query_id, _, text = rest.partition(" ")
                     is_answer_lost = await self.run(session, query_id, text, send)
                     if is_answer_lost:
-                        await asyncio.sleep(60)
+                        await reader.read()  # returns nothing further
+                        break
                     send_ready()
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
@@ -277,6 +443,10 @@
 
     async def run(self, session, query_id, text, send):
         words = text.split(" ")
+        if time.monotonic() < self.busy_until:
+            session["state"] = "I" if session["tx"] is None else "E"
+            send(f"ERROR BUSY {self.id}")
+            return False
         if words[0] == "AFTER":
             min_position, words = tuple(map(int, words[1].split("."))), words[2:]
             if tuple(map(int, self.applied_position().split("."))) < min_position:
@@ -286,11 +456,10 @@
             self.statements.append((query_id, session["who"], " ".join(words)))
         verb = words[0]
         if verb in ("SUSPEND", "RESUME", "STEPDOWN", "STATUS"):
-            if verb == "SUSPEND" and self.role == "replica":
-                self.suspended = True
-            if verb == "RESUME":
-                self.suspended = False
-            send(f"ROW {self.role} {self.group.term} {self.received_position()} 0 0 0 1")
+            await self.run_control_statement(verb, int(words[1]) if words[1:] else 0)
+            lag = 0 if self.role == "primary" else int(self.replay_lag * 1000)
+            send(f"ROW {self.role} {self.term} {self.received_position()} {self.held} {lag} "
+                 f"{self.busy_slots} {len(self.connections)}")
         elif verb == "RESET":
             session["values"], session["prepared"] = {}, {}
         elif verb == "SET":
@@ -302,6 +471,7 @@
                 send(f"ERROR READONLY {self.id}")
                 return False
             session["tx"], session["state"] = [], "T"
+            session["is_read_only"] = words[1:] == ["READ"]
         elif verb == "ROLLBACK":
             session["tx"], session["state"] = None, "I"
         else:
@@ -309,6 +479,19 @@
         send("COMPLETE -")
         return False
 
+    async def run_control_statement(self, verb, term):
+        if verb != "STATUS":
+            self.group.note(f"{self.id}, {self.role} at {self.received_position()}, is told {verb}"
+                            f"{f' {term}' if term else ''}")
+        newest_term = max(self.term, self.log[-1][0] if self.log else 0)
+        if verb == "SUSPEND" and self.role == "replica" and term > newest_term:
+            self.held = max(self.held, term)
+        elif verb == "RESUME":
+            self.held = 0
+        elif verb == "STEPDOWN" and self.role == "primary" and term > self.term:
+            self.role = "replica"
+            await self.register()
+
     async def run_data_statement(self, session, words, send):
         verb, rest = words[0], words[1:]
         if verb == "EXECUTE":
@@ -316,10 +499,11 @@
                 send(f"ERROR NOSTMT {rest[0]}")
                 return False
             verb, rest = session["prepared"][rest[0]][0], rest[1:]
-        async with self.slot_semaphore:
+        async with self.use_slot():
             await asyncio.sleep(0.004)
-            writes = verb == "WRITE" or (verb == "COMMIT" and session["tx"])
-            if writes and self.role != "primary":
+            needs_lead = verb == "WRITE" or (verb == "COMMIT" and session["tx"]) or \
+                (verb == "READ" and session["tx"] is not None and not session["is_read_only"])
+            if needs_lead and self.role != "primary":
                 session["state"] = "E" if session["tx"] is not None else "I"
                 send(f"ERROR READONLY {self.id}")
                 return False
@@ -342,11 +526,16 @@
 class System:
     """A store, groups of three instances, and a configuration, all on loopback."""
 
-    def __init__(self, base, zones=("north", "south"), groups=("g1", "g2")):
+    late_seconds = 2.0, 12.0  # delay of a promotion order that gets no answer
+
+    def __init__(self, base, zones=("north", "south"), groups=("g1", "g2"), with_proxies=False):
         self.store, self.ports = Store(), itertools.count(base)
         self.zones, self.store_port = zones, next(self.ports)
         self.groups = {name: Group(name, self.store) for name in groups}
-        self.servers, self.version = [], 0
+        self.servers, self.version, self.with_proxies = [], 0, with_proxies
+        self.proxies = {}  # id of an instance, or "store" -> proxy, if they are used
+        self.instances_by_port, self.free_addresses = {}, []
+        self.late_share, self.rng = 0.0, random.Random(base)
 
     async def listen(self, handler, port):
         self.servers.append(await asyncio.start_server(handler, "127.0.0.1", port))
@@ -355,18 +544,94 @@
         await self.listen(
             lambda reader, writer: serve_http(reader, writer, self.store, self.promote),
             self.store_port)
+        if self.with_proxies:
+            self.proxies["store"] = await self.add_proxy(self.store_port)
+            self.store_port = self.proxies["store"].port
         for name, group in self.groups.items():
             for number in range(3):
-                zone = self.zones[number % len(self.zones)]
-                instance = Instance(group, f"{name}-i{number}", zone, next(self.ports))
-                await self.listen(instance.serve, instance.port)
+                await self.add_instance(group, self.zones[number % len(self.zones)])
             next(iter(group.instances.values())).role = "primary"
             for instance in group.instances.values():
                 await instance.register()
+            group.start()
+
+    async def add_proxy(self, target):
+        proxy = Proxy(next(self.ports), target)
+        await self.listen(proxy.serve, proxy.port)
+        return proxy
+
+    async def add_address(self):
+        """Returns the port at which an instance listens, and the proxy in front of it, if any."""
+        port = next(self.ports)
+
+        async def serve(reader, writer):
+            instance = self.instances_by_port.get(port)
+            if instance:
+                await instance.serve(reader, writer)
+            else:
+                writer.transport.abort()
+        await self.listen(serve, port)
+        return port, await self.add_proxy(port) if self.with_proxies else None
+
+    async def add_instance(self, group, zone, address=None, log=()):
+        """Adds an instance that is not registered yet; its log may be that of another one."""
+        port, proxy = address or await self.add_address()
+        numbers = (f"{group.name}-i{number}" for number in itertools.count())
+        instance = Instance(group, next(name for name in numbers if name not in group.instances and
+                                        name not in group.former_logs),
+                            zone, proxy.port if proxy else port)
+        instance.address, instance.log, instance.applied = (port, proxy), list(log), len(log)
+        self.instances_by_port[port] = instance
+        if proxy:
+            self.proxies[instance.id] = proxy
+        return instance
+
+    async def remove_instance(self, instance):
+        """Ends an instance for good. Its address may be used again."""
+        group = instance.group
+        group.note(f"{instance.id}, {instance.role}, ends at {instance.received_position()}")
+        instance.kill()
+        group.former_logs[instance.id] = {(entry[2], entry[3]) for entry in instance.log}
+        group.instances.pop(instance.id)
+        self.instances_by_port.pop(instance.address[0])
+        self.proxies.pop(instance.id, None)
+        await self.store.delete("servers", instance.id)
+
+    async def replace(self, instance, drain_seconds, is_new_first=True):
+        """Replaces an instance as planned. The new one starts with its log, before the old one
+        drains or, at its address, after it has ended."""
+        group = instance.group
+        if is_new_first:
+            address = self.free_addresses.pop(0) if self.free_addresses else None
+            new = await self.add_instance(group, instance.zone, address, instance.log)
+            group.note(f"{new.id} joins to replace {instance.id}")
+            await new.register()
+            await asyncio.sleep(drain_seconds / 2)
+        instance.draining = True
+        group.note(f"{instance.id}, {instance.role}, is draining")
+        await instance.register()
+        await asyncio.sleep(drain_seconds)
+        await self.remove_instance(instance)
+        if is_new_first:
+            self.free_addresses.append(instance.address)
+            return new
+        new = await self.add_instance(group, instance.zone, instance.address, instance.log)
+        group.note(f"{new.id} joins at the address of {instance.id}")
+        await new.register()
+        return new
 
     async def promote(self, body, headers):
         token = int(headers.get("quetzalpaddle-fence-token", 0))
-        return await self.groups[body["service"]].promote(body["id"], token)
+        holder = headers.get("quetzalpaddle-duty-holder", "?")
+        group = self.groups[body["service"]]
+        if self.rng.random() >= self.late_share:
+            return await group.promote(body["id"], token, holder)
+        delay, called_at = self.rng.uniform(*self.late_seconds), time.monotonic()
+        group.note(f"promotion of {body['id']} ordered by {holder}, token {token}: no answer, "
+                   f"carried out {delay:.1f} s later")
+        asyncio.get_running_loop().call_later(delay, lambda: asyncio.ensure_future(
+            group.promote(body["id"], token, holder, called_at)))
+        return None, None
 
     async def configure(self, keys, routes, rate=100000, open_routes=()):
         """Stores a configuration.
