--- a/testing/line_fleet.py
+++ b/testing/line_fleet.py
@@ -88,24 +88,31 @@
     """Entry hosts, one group of three instances, and writers that record which of their writes were
     acknowledged. Use it with "async with"."""
 
-    def __init__(self, program, host_count=3):
-        self.program, self.host_count, self.hosts, self.events = program, host_count, [], []
-        self.acknowledged, self.refused, self.lost = {}, set(), {}
-        self.writers, self.is_writing = [], False
+    def __init__(self, program, host_count=3, with_proxies=False):
+        self.program, self.host_count, self.with_proxies = program, host_count, with_proxies
+        self.hosts, self.events, self.writers, self.is_writing = [], [], [], False
+        self.acknowledged, self.refused = set(), set()  # (item, value)
+        # Orders of promotions: (time, instance, holder, token, status; None: not answered).
+        self.orders = []
+        # Coroutine (instance, holder, token) that may return another answer to an order.
+        self.on_order = None
 
     async def __aenter__(self):
         self.base, self.claim = claim_ports()
-        self.system = line_standins.System(self.base, groups=(GROUP,))
+        self.system = line_standins.System(self.base, groups=(GROUP,),
+                                           with_proxies=self.with_proxies)
         self.group = self.system.groups[GROUP]
+        self.promote, self.system.promote = self.system.promote, self.take_order
         await self.system.start()
         await self.system.configure({KEY: CUSTOMER}, {DATABASE: (GROUP, "primary", 0)})
+        seeds = [f"127.0.1.{number + 1}:{self.base + 50}" for number in range(self.host_count)]
         self.hosts = [line_demo.Host(self.program, number, self.system.zones[number % 2], self.base,
-                                     self.system, stop_limit_s=GRACE_SECONDS,
+                                     self.system, seeds=seeds, stop_limit_s=GRACE_SECONDS,
                                      leaving_limit_ms=LEAVING_LIMIT_SECONDS * 1000)
                       for number in range(self.host_count)]
         for host in self.hosts:
             await wait_until(host.is_ready, f"{host.name} is ready", 20)
-        await wait_until(self.duty_holder, "a host holds the promotion duty", 10)
+        await wait_until(self.find_holder, "a host holds the promotion duty", 10)
         return self
 
     async def __aexit__(self, *_):
@@ -117,20 +124,35 @@
                 host.process.wait()
 
     def note(self, text):
-        self.events.append(f"time={format_time(time.time())} {text}")
+        self.events.append((time.time(), text))
 
     def trace(self, events):
-        """Returns what the test noted and what the hosts logged of some events, in order of time."""
-        lines = list(self.events)
+        """Returns what happened and what the hosts logged of some events, in order of time."""
+        offset = time.time() - time.monotonic()
+        notes = self.events + [(at + offset, text) for at, text in self.group.trace]
+        lines = [f"time={format_time(at)} {text}" for at, text in notes]
         for host in self.hosts:
             log = pathlib.Path(host.log_file.name).read_text(errors="replace")
             lines += [line for line in log.splitlines() if events.search(line)]
         return sorted(lines, key=lambda line: line[:29])
 
-    async def duty_holder(self):
-        """Returns the name of the host that holds the promotion duty, by the store."""
+    async def take_order(self, body, headers):
+        holder = headers.get("quetzalpaddle-duty-holder", "?")
+        token = int(headers.get("quetzalpaddle-fence-token", 0))
+        answer = await self.on_order(body["id"], holder, token) if self.on_order else None
+        status, reply = answer or await self.promote(body, headers)
+        if status is None:
+            self.note(f"promotion of {body['id']} ordered by {holder}, token {token}: no answer")
+        self.orders.append((time.monotonic(), body["id"], holder, token, status))
+        return status, reply
+
+    async def find_holder(self):
+        """Returns the host that holds the promotion duty, by the store."""
         duty = self.system.store.objects.get((DUTY_KIND, GROUP))
-        return duty and duty["spec"]["holder"]
+        return duty and next(host for host in self.hosts if host.name == duty["spec"]["holder"])
+
+    def duty_token(self):
+        return self.system.store.objects[(DUTY_KIND, GROUP)]["spec"]["token"]
 
     def kill(self, host):
         self.note(f"{host.name} is killed")
@@ -141,6 +163,86 @@
         self.note(f"{host.name} starts again")
         host.start()
 
+    async def start_writers(self, count=4):
+        self.is_writing = True
+        self.writers = [asyncio.ensure_future(self.keep_writing(number))
+                        for number in range(count)]
+        await wait_until(self.serves_all, "writes are served before the trouble", 5)
+        await asyncio.sleep(0.5)
+
+    async def keep_writing(self, number):
+        """Writes one new item after the other."""
+        count = 0
+        while self.is_writing:
+            caller = line_demo.Caller(random.choice(self.hosts).port, DATABASE, KEY)
+            try:
+                if await asyncio.wait_for(caller.open(), 2):
+                    raise ConnectionError
+                while self.is_writing:
+                    count += 1
+                    await self.write(caller, f"w{number}-{count}")
+                    await asyncio.sleep(0.02)
+            except (ConnectionError, OSError, asyncio.TimeoutError):
+                await asyncio.sleep(0.05)
+            finally:
+                if hasattr(caller, "writer"):
+                    caller.reset()
+
+    async def write(self, caller, item):
+        error, _ = await asyncio.wait_for(caller.run(f"WRITE {item} 1"), 8)
+        if error in PROMISES:
+            self.refused.add((item, "1"))
+        if error:
+            raise ConnectionError
+        self.acknowledged.add((item, "1"))
+        self.group.note_acknowledged(item, "1")
+
+    async def serves(self, host):
+        """Returns whether a host serves a write."""
+        caller = line_demo.Caller(host.port, DATABASE, KEY)
+        try:
+            if await asyncio.wait_for(caller.open(), 2):
+                return False
+            await self.write(caller, f"s{random.getrandbits(40):x}")
+            return True
+        except (ConnectionError, OSError, asyncio.TimeoutError):
+            return False
+        finally:
+            if hasattr(caller, "writer"):
+                caller.reset()
+
+    async def serves_all(self):
+        return all([await self.serves(host) for host in self.hosts])
+
+    async def check_outcome(self, trouble_end):
+        """Checks that writes are served in time after the trouble, and that none that was
+        acknowledged is missing."""
+        await wait_until(self.serves_all, "writes are served after the trouble",
+                         trouble_end + RECOVERY_SECONDS - time.monotonic())
+        self.note("writes are served by all hosts")
+        self.is_writing = False
+        await asyncio.gather(*self.writers)
+        await asyncio.sleep(self.group.promote_seconds + 0.2)
+        for host in self.hosts:
+            check(host.process.poll() is None, f"{host.name} has ended by itself")
+        stored = {(entry[2], entry[3]) for entry in self.group.primary().log}
+        lost = self.group.lost_writes
+        for write in lost[:3]:
+            since = lambda at: f"{at - write['effect_at']:+.2f} s"
+            self.note(f"{write['write'][0]} is lost: acknowledged {since(write['acknowledged_at'])} "
+                      f"from the promotion of {write['promoted']}, held by {write['held_by']}")
+        check(not lost, f"{len(lost)} of {len(self.acknowledged)} acknowledged writes were not in "
+              "the log of an instance when it was promoted")
+        gone = self.acknowledged - stored
+        check(not gone, f"{len(gone)} acknowledged writes are not in the log of the primary")
+        kept = self.refused & stored
+        check(not kept, f"{len(kept)} writes are stored although their callers were told that "
+              "nothing is kept")
+
+
+async def sleep_until(at):
+    await asyncio.sleep(at - time.monotonic())
+
 
 async def wait_until(condition, description, timeout):
     deadline = time.monotonic() + timeout
--- /dev/null
+++ b/tests/line_promotion_test.py
@@ -0,0 +1,300 @@
+#!/usr/bin/env python3
+"""Promotions under faults of hosts, instances, store and platform: the promoted log has every
+acknowledged write, and the group serves writes again in time.
+
+usage: line_promotion_test.py [PROGRAM] [--filter SUITE/NAME] [--jobs N] [--tap FILE]
+                              [--traces FOLDER]
+"""
+import asyncio
+import pathlib
+import signal
+import sys
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "testing"))
+import line_fleet  # noqa: E402
+from line_fleet import check, sleep_until, test, wait_until  # noqa: E402
+
+RESTART_SECONDS = 0.5  # a killed process starts again after a short delay
+OUTAGE_SECONDS = 6.9   # the longest outage of the store and the longest crash of an instance
+CRASH_SECONDS = 3.0
+
+
+def replicas(group):
+    return [instance for instance in group.instances.values() if instance.role == "replica"]
+
+
+def set_deaf(fleet, instance, is_deaf):
+    instance.deaf = is_deaf
+    fleet.group.note(f"{instance.id} at {instance.received_position()} "
+                     f"{'receives nothing' if is_deaf else 'receives again'}")
+
+
+async def crash_primary(fleet, seconds):
+    """Crashes the primary and starts it again later. Returns it."""
+    primary = fleet.group.primary()
+    primary.kill()
+
+    async def revive():
+        await asyncio.sleep(seconds)
+        primary.revive()
+    asyncio.ensure_future(revive())
+    return primary
+
+
+# Guards against a host that starts just after an outage of the store and takes the instances whose
+# entries are back for all that exist: it promoted a replica beside a live primary.
+@test("line_promotion")
+async def startWhileEntriesOfLiveInstancesAreMissing(make_fleet):
+    async with make_fleet() as fleet:
+        await fleet.start_writers()
+        store, group, down_at = fleet.system.store, fleet.group, time.monotonic()
+        group.note("the store is down")
+        store.stop()
+        await sleep_until(down_at + 5)
+        check(not any(instance.is_listed for instance in group.instances.values()),
+              "an entry has not expired")
+        for host in fleet.hosts:
+            fleet.kill(host)
+        await asyncio.sleep(RESTART_SECONDS)
+        for host in fleet.hosts:
+            fleet.restart(host)
+        await sleep_until(down_at + OUTAGE_SECONDS)
+        store.start()
+        back_at = time.monotonic()
+        group.note("the store is back")
+        for instance in group.instances.values():
+            instance.next_check_in = back_at + (0.1 if instance.id == "g1-i2" else 1.6)
+        await sleep_until(back_at + 1.5)
+        first, *others = sorted(group.instances.values(), key=lambda one: not one.is_listed)
+        check(first.is_listed and not any(instance.is_listed for instance in others),
+              "not just one entry was back")
+        check(any([(await host.get("/dump")).count('"g1-i') == 1 for host in fleet.hosts]),
+              "no host has read the list with one entry")
+        await sleep_until(back_at + 4)
+        await fleet.check_outcome(back_at)
+
+
+async def disturb_promotion(make_fleet, disturb):
+    """The holder of the duty does not reach the primary and promotes, while another host reaches
+    it. disturb: coroutine that lets a replica receive before the promotion takes effect."""
+    async with make_fleet(with_proxies=True) as fleet:
+        await fleet.start_writers(12)
+        group, primary = fleet.group, fleet.group.primary()
+        holder = await fleet.find_holder()
+        orders_before = len(fleet.orders)
+        group.note(f"{holder.name} does not reach {primary.id}, which does not reach its replicas")
+        fleet.system.proxies[primary.id].cut(holder)
+        for replica in replicas(group):
+            set_deaf(fleet, replica, True)
+
+        async def is_ordered():
+            return any(order[4] == 200 for order in fleet.orders[orders_before:])
+        await wait_until(is_ordered, "a promotion is ordered", 6)
+        _, candidate, orderer, *_ = fleet.orders[-1]
+        check(orderer == holder.name, f"{orderer} has ordered the promotion, not {holder.name}")
+        await asyncio.sleep(0.2)
+        check(group.primary() is primary, "the promotion has taken effect already")
+        other = next(one for one in replicas(group) if one.id != candidate)
+        await disturb(fleet, other)
+        check(group.primary() is primary, "the promotion has taken effect already")
+        await asyncio.sleep(2)
+        for replica in group.instances.values():
+            replica.deaf = False
+        fleet.system.proxies[primary.id].mend(holder)
+        group.note("all reach each other again")
+        await fleet.check_outcome(time.monotonic())
+
+
+# Guards against a replica that joins during a promotion, is not suspended, and lets the old primary
+# acknowledge writes that the promoted one lacks.
+@test("line_promotion")
+async def acknowledgementsThroughAReplicaThatJoins(make_fleet):
+    async def join(fleet, other):
+        asyncio.ensure_future(fleet.system.replace(other, 6))
+        await asyncio.sleep(0.05)
+    await disturb_promotion(make_fleet, join)
+
+
+# Guards against a replica that restarts during a promotion, is no longer suspended then, and lets
+# the old primary acknowledge writes that the promoted one lacks.
+@test("line_promotion")
+async def acknowledgementsThroughAReplicaThatRestarts(make_fleet):
+    async def restart(fleet, other):
+        check(other.suspended, f"{other.id} was not suspended")
+        other.kill()
+        await asyncio.sleep(0.2)
+        other.revive()
+        set_deaf(fleet, other, False)
+    await disturb_promotion(make_fleet, restart)
+
+
+# Guards against an order that is accepted after the limit of its attempt, or carried out later, when
+# the attempt has resumed the replicas and the old primary, which is back, acknowledges again.
+@test("line_promotion")
+async def orderThatTakesEffectAfterItsAttempt(make_fleet):
+    late_seconds, lost = 6, []
+    async with make_fleet() as fleet:
+        await fleet.start_writers()
+        group, late_orders = fleet.group, []
+
+        async def lose_two_orders(instance, holder, token):
+            if len(lost) == 2:
+                return None
+            lost.append(instance)
+
+            async def carry_out():
+                await asyncio.sleep(late_seconds)
+                await group.promote(instance, token, holder)
+            late_orders.append(asyncio.ensure_future(carry_out()))
+            return None, None
+        fleet.on_order = lose_two_orders
+        crashed_at = time.monotonic()
+        primary = await crash_primary(fleet, CRASH_SECONDS)
+        await sleep_until(crashed_at + CRASH_SECONDS + 0.1)
+        check(lost and primary.is_running, "no order was lost before the old primary was back")
+        candidate = group.instances[lost[0]]
+        set_deaf(fleet, candidate, True)
+        await sleep_until(crashed_at + 9)
+        await asyncio.gather(*late_orders)
+        await asyncio.sleep(group.promote_seconds)
+        set_deaf(fleet, candidate, False)
+        await fleet.check_outcome(time.monotonic())
+
+
+# Guards against an order that is carried out late, for a holder that is gone, after the next one
+# has resumed the replicas: the platform has to refuse it.
+@test("line_promotion")
+async def lateOrderOfAHolderThatIsGone(make_fleet):
+    late_seconds, deaf_seconds = 8, 3
+    async with make_fleet() as fleet:
+        await fleet.start_writers()
+        group, lost = fleet.group, []
+
+        async def lose_first_order(instance, holder, token):
+            if lost:
+                return None
+            lost.append((instance, holder, token, time.monotonic()))
+            return None, None
+        fleet.on_order = lose_first_order
+        await crash_primary(fleet, CRASH_SECONDS)
+
+        async def is_ordered():
+            return lost
+        await wait_until(is_ordered, "a promotion is ordered", 6)
+        instance, name, token, ordered_at = lost[0]
+        holder = next(host for host in fleet.hosts if host.name == name)
+        await sleep_until(ordered_at + 1.2)
+        fleet.kill(holder)
+        await asyncio.sleep(RESTART_SECONDS)
+        fleet.restart(holder)
+        await sleep_until(ordered_at + late_seconds - deaf_seconds)
+        candidate = group.instances[instance]
+        set_deaf(fleet, candidate, True)
+        await sleep_until(ordered_at + late_seconds)
+        check(fleet.duty_token() > token, "no other holder has taken the duty")
+        await group.promote(instance, token, name)
+        await asyncio.sleep(2)
+        set_deaf(fleet, candidate, False)
+        await fleet.check_outcome(time.monotonic())
+
+
+# Guards against a replica that counts as gone because its entry has expired, though it runs and
+# alone has the last acknowledged writes.
+@test("line_promotion")
+async def replicaWhoseEntryHasExpired(make_fleet):
+    async with make_fleet() as fleet:
+        await fleet.start_writers()
+        group, cut_at = fleet.group, time.monotonic()
+        cut, other = replicas(group)
+        group.note(f"{cut.id} does not reach the store")
+        cut.reaches_store = False
+
+        async def has_expired():
+            return not cut.is_listed
+        await wait_until(has_expired, f"the entry of {cut.id} expires", 4)
+        await asyncio.sleep(0.5)
+        set_deaf(fleet, other, True)
+        await asyncio.sleep(0.5)
+        crashed_at = time.monotonic()
+        check(len(cut.log) > len(other.log), f"{cut.id} is not ahead of {other.id}")
+        primary = await crash_primary(fleet, 6)
+        await sleep_until(cut_at + 5.5)
+        check(cut.is_running and not cut.is_listed, f"{cut.id} is listed")
+        group.note(f"{cut.id} reaches the store again")
+        cut.reaches_store = True
+        await sleep_until(crashed_at + 3.4)
+        set_deaf(fleet, other, False)
+        await sleep_until(crashed_at + 6.1)
+        check(primary.is_running, f"{primary.id} is not back")
+        await fleet.check_outcome(time.monotonic())
+
+
+# Guards against a replica that joins during a switchover, beside a candidate that receives nothing:
+# the old primary acknowledged through it what the promoted one lacks.
+@test("line_promotion")
+async def replicaThatJoinsDuringASwitchover(make_fleet):
+    async with make_fleet() as fleet:
+        await fleet.start_writers()
+        group, primary = fleet.group, fleet.group.primary()
+        replacements = [asyncio.ensure_future(fleet.system.replace(primary, 7))]
+
+        async def is_ordered():
+            return any(order[4] == 200 for order in fleet.orders)
+        await wait_until(is_ordered, "a promotion is ordered", 8)
+        candidate = group.instances[fleet.orders[-1][1]]
+        set_deaf(fleet, candidate, True)
+        other = next(one for one in replicas(group) if one is not candidate)
+        replacements.append(asyncio.ensure_future(fleet.system.replace(other, 4)))
+        await asyncio.sleep(0.1)
+        check(group.primary() is primary, "the promotion has taken effect already")
+        await asyncio.sleep(2)
+        set_deaf(fleet, candidate, False)
+        await asyncio.gather(*replacements)
+        await fleet.check_outcome(time.monotonic())
+
+
+# Guards against a holder that is frozen between suspension and order, and orders a promotion when
+# it goes on and another host has taken the duty.
+@test("line_promotion")
+async def holderThatIsFrozenBeforeItsOrder(make_fleet):
+    async with make_fleet() as fleet:
+        await fleet.start_writers()
+        group, holder, frozen = fleet.group, await fleet.find_holder(), []
+
+        def freeze_at_suspension(instance):
+            run = instance.run_control_statement
+
+            async def run_and_freeze(verb, term):
+                await run(verb, term)
+                if verb == "SUSPEND" and not frozen:
+                    frozen.append(fleet.duty_token())
+                    fleet.note(f"{holder.name} freezes")
+                    holder.process.send_signal(signal.SIGSTOP)
+            instance.run_control_statement = run_and_freeze
+        for instance in group.instances.values():
+            freeze_at_suspension(instance)
+        crashed_at = time.monotonic()
+        await crash_primary(fleet, CRASH_SECONDS)
+
+        async def is_frozen():
+            return frozen
+        await wait_until(is_frozen, "the holder suspends a replica", 5)
+        check(not fleet.orders, "the order was sent already")
+
+        async def is_replaced():
+            return fleet.duty_token() > frozen[0]
+        await wait_until(is_replaced, "another host takes the duty", 8)
+        await sleep_until(max(crashed_at + CRASH_SECONDS, time.monotonic()) + 1.5)
+        candidate = next(one for one in replicas(group))
+        set_deaf(fleet, candidate, True)
+        await asyncio.sleep(0.3)
+        fleet.note(f"{holder.name} goes on")
+        holder.process.send_signal(signal.SIGCONT)
+        await asyncio.sleep(3)
+        set_deaf(fleet, candidate, False)
+        await fleet.check_outcome(time.monotonic())
+
+
+if __name__ == "__main__":
+    line_fleet.main(__file__)
