--- a/tests/line_promotion_test.py
+++ b/tests/line_promotion_test.py
@@ -106,14 +106,32 @@
     return await fleet.find_holder()
 
 
-async def disturb_promotion(make_fleet, disturb):
-    """The holder of the duty does not reach the primary and promotes, while another host reaches
-    it. disturb: coroutine that lets a replica receive before the promotion takes effect."""
+def freeze_at_next_token(fleet, host):
+    """Freezes a host when the token of the duty is raised next, before the holder knows that."""
+    put = fleet.system.store.put
+
+    async def put_and_freeze(kind, *args, **keywords):
+        result = await put(kind, *args, **keywords)
+        if kind == line_fleet.DUTY_KIND and result[0] == 200:
+            fleet.system.store.put = put
+            fleet.note(f"{host.name} freezes")
+            host.process.send_signal(signal.SIGSTOP)
+        return result
+    fleet.system.store.put = put_and_freeze
+
+
+async def disturb_promotion(make_fleet, disturb, is_dispatcher_frozen=False):
+    """The holder of the duty does not reach the primary and promotes, while another host, the
+    dispatcher, reaches it. disturb: coroutine that lets a replica receive before the promotion
+    takes effect."""
     async with make_fleet(with_proxies=True) as fleet:
         await fleet.start_writers(12)
         group, primary = fleet.group, fleet.group.primary()
         holder = await separate_duty(fleet, primary)
-        orders_before = len(fleet.orders)
+        dispatcher, orders_before = await find_dispatcher(fleet, primary), len(fleet.orders)
+        check(dispatcher, "no host alone dispatches to the primary")
+        if is_dispatcher_frozen:
+            freeze_at_next_token(fleet, dispatcher)
         group.note(f"{holder.name} does not reach {primary.id}, which does not reach its replicas")
         fleet.system.proxies[primary.id].cut(holder)
         for replica in replicas(group):
@@ -129,6 +147,10 @@
         other = next(one for one in replicas(group) if one.id != candidate)
         await disturb(fleet, other)
         check(group.primary() is primary, "the promotion has taken effect already")
+        if is_dispatcher_frozen:
+            await asyncio.sleep(0.1)
+            fleet.note(f"{dispatcher.name} goes on")
+            dispatcher.process.send_signal(signal.SIGCONT)
         await asyncio.sleep(2)
         for replica in group.instances.values():
             replica.deaf = False
@@ -147,6 +169,16 @@
     await disturb_promotion(make_fleet, join)
 
 
+# Guards against the same at a host that was frozen meanwhile, and wakes with the acknowledgement and
+# the notice of the promotion.
+@test("line_promotion")
+async def acknowledgementsAtAHostThatWasFrozen(make_fleet):
+    async def join(fleet, other):
+        asyncio.ensure_future(fleet.system.replace(other, 6))
+        await asyncio.sleep(0.05)
+    await disturb_promotion(make_fleet, join, is_dispatcher_frozen=True)
+
+
 # Guards against a replica that restarts during a promotion, is no longer suspended then, and lets
 # the old primary acknowledge writes that the promoted one lacks.
 @test("line_promotion")
