--- a/testing/line_fleet.py
+++ b/testing/line_fleet.py
@@ -326,7 +326,9 @@
     report = [f"1..{len(names)}"]
     for name, (passed, seconds, output) in zip(names, results):
         report.append(f"{'ok' if passed else 'not ok'} - {name} ({seconds:.1f}s)")
-        print(report[-1], output, sep="\n" if output else "")
+        print(report[-1], output, sep="\n")
+    print("Failed:", *(output.partition("\n")[0] for _, (passed, _, output) in zip(names, results)
+                      if not passed), sep="\n  ")
     if args.tap:
         pathlib.Path(args.tap).write_text("\n".join(report) + "\n")
     sys.exit(0 if names and all(passed for passed, _, _ in results) else 1)
