Keep the replicas suspended until every promotion order has ended

The duty object now records an order by a conditional update before it is sent. A host that takes the duty later finds it and finishes the promotion; if it took the duty earlier, the update fails and nothing is ordered. No replica is resumed while an order is open: it ends when its instance is primary, or when the platform has accepted an order with a higher token. Without the store a host neither begins an attempt nor resumes replicas on taking the duty.

Evidence: takeover_test open_order_is_finished_before_anything_else and equal_logs_prefer_that_of_an_open_order, store_codec_test dutyKeepsItsOpenOrders.

--- a/src/line_config.h
+++ b/src/line_config.h
@@ -94,6 +94,9 @@
   uint64_t m_Token = 0;
   uint64_t m_Incarnation = 0; // of the holder's process
   uint64_t m_Revision = 0;    // of the stored object; 0: there is none
+  // Instances named by orders that may still be carried out. Recorded before the first order is
+  // sent, so that the next holder knows of orders that it did not send.
+  std::set<std::string> m_OpenOrders;
 };
 
 // Status that an instance reports.
--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -3,10 +3,10 @@
 //
 // The holder of a group's duty is recorded in the platform's object store. A conditional update
 // raises the duty's token with every holder and every attempt, before the first call of the
-// attempt. If the duty cannot be read, the attempt uses the token that this host holds already, if
-// any; if it cannot be written, there is no attempt. A promotion order that was not answered may be
-// carried out later. Within an attempt it is therefore repeated for the same instance only, and the
-// higher token of the next attempt makes the platform refuse it.
+// attempt; without the store there is none. The duty also records an order before it is sent, by a
+// second conditional update: a host that takes the duty from then on knows that the order may still
+// be carried out, and one that took it before makes the update fail. While an order is open, no
+// replica is resumed.
 #include "line_host.h"
 
 #include "platform/line_codec.h"
@@ -212,12 +212,49 @@
   co_return Result;
 }
 
-// Raises the duty's token in the store. Returns whether this host may go on. If the duty cannot be
-// read, a token that this host holds already stays in use; if it cannot be written, returns false.
+// Writes the duty to the store. Returns whether it was written; it is then this host's.
+Awaitable<bool> writeDuty(LineHost &Host, const LineGroup &Group, Takeover &State,
+                          PromotionDuty NewDuty) {
+  std::string Body = platform::encodeDuty(Group.m_Name, NewDuty);
+  platform::StoreResult<StoredObjectVersion> WriteResult = StoreFault::NoAnswer;
+  if (NewDuty.m_Revision == 0)
+    WriteResult = co_await platform::createObject(Host.m_StoreClient, platform::DutyKind, Body);
+  else
+    WriteResult = co_await platform::replaceObject(Host.m_StoreClient, platform::DutyKind,
+                                                   Group.m_Name, Body);
+  auto *Object = std::get_if<StoredObjectVersion>(&WriteResult);
+  if (!Object) {
+    logLine(LogLevel::Warning, "duty_not_written",
+            {{"group", Group.m_Name},
+             {"token", std::to_string(NewDuty.m_Token)},
+             {"why", std::string(storeFaultName(std::get<StoreFault>(WriteResult)))}});
+    co_return false;
+  }
+  NewDuty.m_Revision = Object->m_Revision;
+  State.m_Duty = std::move(NewDuty);
+  co_return true;
+}
+
+// Removes the open orders of a duty if none of them can change the primary any more: all name the
+// same instance, and it has become primary.
+Awaitable<void> settleOpenOrders(LineHost &Host, const std::string &Group, PromotionDuty &Duty) {
+  if (Duty.m_OpenOrders.size() != 1)
+    co_return;
+  std::string Id = *Duty.m_OpenOrders.begin();
+  const LineInstance *Target = findInstance(Host, Id);
+  if (!Target)
+    co_return;
+  ControlAnswer Answer = co_await runControlStatement(Host, Target->m_Address, Group, Id,
+                                                      std::string(platform::StatusText));
+  if (Answer.m_Status && Answer.m_Status->m_IsPrimary)
+    Duty.m_OpenOrders.clear();
+}
+
+// Raises the duty's token in the store. Returns whether this host may go on.
 Awaitable<bool> acquireDuty(LineHost &Host, LineGroup &Group, Takeover &State) {
   auto StoredDuty = co_await readDuty(Host, Group.m_Name);
   if (!StoredDuty)
-    co_return State.m_Duty.m_Token != 0;
+    co_return false;
   PromotionDuty NewDuty = *StoredDuty;
   auto HolderIt = Host.m_Members.m_Hosts.find(NewDuty.m_Holder);
   uint64_t Incarnation =
@@ -227,36 +264,33 @@
     logTakeover(Group, State, "duty_left", "held by " + NewDuty.m_Holder);
     co_return false;
   }
+  // The orders of this process are known better here than in the store.
+  bool IsOwn = NewDuty.m_Holder == Host.m_Settings.m_Host &&
+               NewDuty.m_Incarnation == Host.m_Incarnation &&
+               NewDuty.m_Token == State.m_Duty.m_Token;
+  if (IsOwn)
+    NewDuty.m_OpenOrders = State.m_Duty.m_OpenOrders;
+  co_await settleOpenOrders(Host, Group.m_Name, NewDuty);
   NewDuty.m_Holder = Host.m_Settings.m_Host;
   NewDuty.m_Incarnation = Host.m_Incarnation;
   ++NewDuty.m_Token;
-  std::string Body = platform::encodeDuty(Group.m_Name, NewDuty);
-  platform::StoreResult<StoredObjectVersion> WriteResult = StoreFault::NoAnswer;
-  if (NewDuty.m_Revision == 0)
-    WriteResult = co_await platform::createObject(Host.m_StoreClient, platform::DutyKind, Body);
-  else
-    WriteResult = co_await platform::replaceObject(Host.m_StoreClient, platform::DutyKind,
-                                                   Group.m_Name, Body);
-  auto *Object = std::get_if<StoredObjectVersion>(&WriteResult);
-  if (!Object) {
-    logLine(LogLevel::Warning, "duty_not_taken",
-            {{"group", Group.m_Name},
-             {"why", std::string(storeFaultName(std::get<StoreFault>(WriteResult)))}});
+  TimePoint TakenAt = bootNow();
+  if (!co_await writeDuty(Host, Group, State, std::move(NewDuty)))
     co_return false;
-  }
-  NewDuty.m_Revision = Object->m_Revision;
-  State.m_Duty = NewDuty;
-  State.m_DutyTakenAt = bootNow();
-  logTakeover(Group, State, "duty_taken", "token raised");
+  State.m_DutyTakenAt = TakenAt;
+  logTakeover(Group, State, "duty_taken",
+              State.m_Duty.m_OpenOrders.empty() ? "token raised" : "token raised, an order is open",
+              fmt::format("{}", fmt::join(State.m_Duty.m_OpenOrders, " ")));
   co_return true;
 }
 
-// Returns whether this host still holds the duty. If the duty cannot be read, that is assumed for
-// half of the time that another host has to wait before it may take the duty.
+// Returns whether this host still holds the duty. If the duty cannot be read, it does for as long
+// as every other host has to wait before it may take the duty.
 Awaitable<bool> holdsDuty(LineHost &Host, const std::string &Group, const Takeover &State) {
   auto StoredDuty = co_await readDuty(Host, Group);
   if (!StoredDuty)
-    co_return bootNow() - State.m_DutyTakenAt < DefaultSettings.m_HolderGracePeriod / 2;
+    co_return bootNow() - State.m_DutyTakenAt <
+        DefaultSettings.m_HolderGracePeriod - DefaultSettings.m_StatementMargin;
   co_return StoredDuty->m_Token == State.m_Duty.m_Token &&
       StoredDuty->m_Holder == State.m_Duty.m_Holder;
 }
@@ -274,7 +308,8 @@
   LineGroup &Group = Host.m_Groups[GroupName];
   Takeover &State = Host.m_Takeovers[GroupName];
   bool HoldsDuty = co_await acquireDuty(Host, Group, State);
-  if (HoldsDuty) {
+  // While an order is open, the next check of the group finishes it.
+  if (HoldsDuty && State.m_Duty.m_OpenOrders.empty()) {
     std::set<std::string> Replicas = listInstances(Group, true);
     State.m_ResumedAt = bootNow();
     logTakeover(Group, State, "replicas_resumed", "duty acquired or writes stalled");
@@ -289,16 +324,22 @@
   State.m_IsRunning = false;
 }
 
-// Orders the promotion of an instance and waits until it is primary. Returns whether it is.
+// Orders the promotion of an instance and waits until it is primary. Returns whether it is, and
+// every earlier order has ended. The open orders of the duty are those that may still be carried
+// out afterwards.
 Awaitable<bool> promote(LineHost &Host, LineGroup &Group, Takeover &State, std::string Candidate) {
-  TimePoint Deadline = bootNow() + DefaultSettings.m_PromotionTimeout;
-  TimePoint OrderedAt{};
+  PromotionDuty NewDuty = State.m_Duty;
+  NewDuty.m_OpenOrders.insert(Candidate);
+  bool HasEarlierOrder = !State.m_Duty.m_OpenOrders.empty();
+  // Fails if another host has taken the duty since.
+  if (!co_await writeDuty(Host, Group, State, std::move(NewDuty)))
+    co_return false;
+  bool MayStillCome = HasEarlierOrder;
   bool IsAccepted = false;
-  // An order without an answer may be carried out later, when the replicas have been resumed and
-  // the candidate no longer holds every commit. The attempt therefore continues until an order is
-  // accepted or found to be outdated.
-  bool HasUnansweredOrder = false;
-  while (bootNow() < Deadline || (HasUnansweredOrder && !IsAccepted)) {
+  bool IsSuperseded = false;
+  TimePoint OrderedAt{};
+  TimePoint Deadline = bootNow() + DefaultSettings.m_PromotionTimeout;
+  while (bootNow() < Deadline && !IsSuperseded) {
     if (!IsAccepted && bootNow() - OrderedAt > DefaultSettings.m_OrderRetryInterval) {
       OrderedAt = bootNow();
       auto Answer = co_await platform::orderPromotion(Host.m_StoreClient, Group.m_Name, Candidate,
@@ -312,21 +353,31 @@
       if (Answer == PromotionResult::NoAnswer)
         countEvent(*Host.m_Metrics, "promotion_unanswered");
       IsAccepted = Answer == PromotionResult::Accepted;
-      HasUnansweredOrder = HasUnansweredOrder || Answer == PromotionResult::NoAnswer;
-      if (Answer == PromotionResult::Superseded)
-        co_return false;
+      IsSuperseded = Answer == PromotionResult::Superseded;
+      MayStillCome = MayStillCome || IsAccepted || Answer == PromotionResult::NoAnswer;
+      // An accepted order takes effect later, and the platform refuses the earlier ones from now
+      // on.
+      if (IsAccepted) {
+        State.m_Duty.m_OpenOrders = {Candidate};
+        Deadline = bootNow() + DefaultSettings.m_PromotionTimeout;
+      }
     }
+    if (Group.m_PendingGeneration != 0)
+      Group.m_PendingGenerationAt = bootNow();
     const LineInstance *Target = findInstance(Host, Candidate);
     if (!Target)
-      co_return false;
-    if (Target->m_ReportsPrimary)
-      co_return true;
+      break;
     auto StatusResult = co_await runControlStatement(Host, Target->m_Address, Group.m_Name,
                                                      Candidate, std::string(platform::StatusText));
-    if (StatusResult.m_Status && StatusResult.m_Status->m_IsPrimary)
+    if (StatusResult.m_Status && StatusResult.m_Status->m_IsPrimary &&
+        State.m_Duty.m_OpenOrders.size() == 1) {
+      State.m_Duty.m_OpenOrders.clear();
       co_return true;
+    }
     co_await sleepFor(Host.m_Io, PollInterval);
   }
+  if (!MayStillCome)
+    State.m_Duty.m_OpenOrders.clear();
   co_return false;
 }
 
@@ -386,7 +437,7 @@
   SuspendResponses PreliminaryResponses;
   PreliminaryResponses.m_Replicas = Statuses;
   PreliminaryResponses.m_MissingReplicas = listUnansweredReplicas(Group, Group.m_Primary, Statuses);
-  if (chooseFailoverCandidate(Group, PreliminaryResponses).empty())
+  if (chooseFailoverCandidate(Group, PreliminaryResponses, State.m_Duty.m_OpenOrders).empty())
     co_return std::string();
   std::set<std::string> ReachableIds;
   for (const auto &[Id, Status] : Statuses)
@@ -398,7 +449,7 @@
                                     platform::formatSuspend(highestTerm(Statuses) + TermMargin)));
   Responses.m_MissingReplicas =
       listUnansweredReplicas(Group, Group.m_Primary, Responses.m_Replicas);
-  std::string Candidate = chooseFailoverCandidate(Group, Responses);
+  std::string Candidate = chooseFailoverCandidate(Group, Responses, State.m_Duty.m_OpenOrders);
   logChoice(Group, State, Responses.m_Replicas, Responses.m_MissingReplicas, Candidate);
   co_return Candidate;
 }
@@ -406,15 +457,20 @@
 Awaitable<void> runTakeover(LineHost &Host, std::string GroupName, TakeoverAction Action) {
   LineGroup &Group = Host.m_Groups[GroupName];
   Takeover &State = Host.m_Takeovers[GroupName];
-  bool IsFailover = Action == TakeoverAction::Failover;
-  logTakeover(Group, State, "takeover_started", IsFailover ? "primary lost" : "primary leaving",
+  bool IsFailover = Action != TakeoverAction::Switchover;
+  logTakeover(Group, State, "takeover_started",
+              Action == TakeoverAction::Finish ? "an order is open"
+              : IsFailover                     ? "primary lost"
+                                               : "primary leaving",
               Group.m_Primary);
   countEvent(*Host.m_Metrics, "takeover_started");
   bool IsPromoted = false;
   std::string Candidate;
   bool HoldsDuty = co_await acquireDuty(Host, Group, State);
   bool IsLeftToHolder = !HoldsDuty && State.m_SeenToken > State.m_Duty.m_Token;
-  if (HoldsDuty) {
+  bool IsFinished =
+      HoldsDuty && Action == TakeoverAction::Finish && State.m_Duty.m_OpenOrders.empty();
+  if (HoldsDuty && !IsFinished) {
     if (IsFailover) {
       Group.m_PendingGeneration = State.m_Duty.m_Token;
       Group.m_PendingGenerationAt = bootNow();
@@ -423,30 +479,42 @@
       Candidate = co_await prepareFailover(Host, Group, State);
     else
       Candidate = co_await prepareSwitchover(Host, Group, State);
-    if (!Candidate.empty() && co_await holdsDuty(Host, GroupName, State))
+    if (!Candidate.empty())
       IsPromoted = co_await promote(Host, Group, State, Candidate);
   }
   TimePoint Now = bootNow();
+  bool IsOrderOpen = !State.m_Duty.m_OpenOrders.empty();
   if (IsPromoted)
     notePromotion(Group, Candidate, State.m_Duty.m_Token, Now);
-  else
+  else if (!IsOrderOpen)
     Group.m_PendingGeneration = 0;
   State.m_NextAttemptAt = Now + DefaultSettings.m_RetryDelay;
   if (IsLeftToHolder)
     State.m_NextAttemptAt = std::max(State.m_NextAttemptAt, findGraceEnd(State, DefaultSettings));
   else
     State.m_UnreachableSince = {};
+  // The promotion is complete for the next holder, too.
+  bool HoldsDutyStill = IsPromoted && co_await writeDuty(Host, Group, State, State.m_Duty);
   // Once another host holds the duty, its attempt may depend on the replicas that this one
-  // suspended.
+  // suspended. A promotion that an earlier holder began has suspended others.
   std::set<std::string> SuspendedIds = std::exchange(State.m_SuspendedReplicas, {});
-  if (!SuspendedIds.empty() && co_await holdsDuty(Host, GroupName, State)) {
-    logTakeover(Group, State, "replicas_resumed", "attempt ended",
+  if (!HoldsDutyStill && !IsOrderOpen && (IsPromoted || !SuspendedIds.empty()))
+    HoldsDutyStill = co_await holdsDuty(Host, GroupName, State);
+  if (HoldsDutyStill && !IsOrderOpen) {
+    SuspendedIds.merge(listInstances(Group, true));
+    logTakeover(Group, State, "replicas_resumed",
+                IsPromoted ? "promotion done" : "attempt without an order ended",
                 fmt::format("{}", fmt::join(SuspendedIds, " ")));
     co_await resumeReplicas(Host, GroupName, SuspendedIds);
   }
   State.m_IsRunning = false;
-  logTakeover(Group, State, IsPromoted ? "takeover_done" : "takeover_failed",
-              Candidate.empty() ? "no instance holds every commit for certain" : "", Candidate);
+  logTakeover(Group, State, IsPromoted || IsFinished ? "takeover_done" : "takeover_failed",
+              IsFinished          ? "the order took effect"
+              : !HoldsDuty        ? "the duty is not held"
+              : Candidate.empty() ? "no instance holds every commit for certain"
+              : IsOrderOpen       ? "an order is open; the replicas stay suspended"
+                                  : "",
+              Candidate);
   if (IsPromoted)
     sendGossip(Host, bootNow());
 }
@@ -517,7 +585,8 @@
         State.m_IsRunning = true;
         State.m_ProbedAt = Now;
         spawnTask(Host, "probe_primary", probePrimary(Host, Name), EndAttempt);
-      } else if (Action == TakeoverAction::Switchover || Action == TakeoverAction::Failover) {
+      } else if (Action == TakeoverAction::Switchover || Action == TakeoverAction::Failover ||
+                 Action == TakeoverAction::Finish) {
         State.m_IsRunning = true;
         spawnTask(Host, "takeover", runTakeover(Host, Name, Action), EndAttempt);
       } else if (Action == TakeoverAction::Resume) {
--- a/src/takeover.cpp
+++ b/src/takeover.cpp
@@ -2,11 +2,14 @@
 #include "takeover.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace quetzalpaddle {
 
 TakeoverAction assessPrimary(const LineGroup &Group, const Takeover &State, TimePoint Now,
                              const TakeoverSettings &Settings) {
+  if (!State.m_Duty.m_OpenOrders.empty())
+    return TakeoverAction::Finish;
   auto It = Group.m_Instances.find(Group.m_Primary);
   bool IsKnown = It != Group.m_Instances.end();
   if (IsKnown && It->second.m_IsLeaving)
@@ -65,11 +68,12 @@
   return Now - State.m_TokenFirstSeenAt >= Settings.m_HolderGracePeriod;
 }
 
-std::string chooseFailoverCandidate(const LineGroup &Group, const SuspendResponses &Responses) {
+std::string chooseFailoverCandidate(const LineGroup &Group, const SuspendResponses &Responses,
+                                    const std::set<std::string> &OpenOrders) {
   auto Rank = [&](const auto &Entry) {
     auto It = Group.m_Instances.find(Entry.first);
     bool IsStaying = It != Group.m_Instances.end() && !It->second.m_IsLeaving;
-    return std::pair(Entry.second.m_ReceivedPosition, IsStaying);
+    return std::tuple(Entry.second.m_ReceivedPosition, OpenOrders.contains(Entry.first), IsStaying);
   };
   auto LongestLog = std::ranges::max_element(Responses.m_Replicas, {}, Rank);
   if (LongestLog == Responses.m_Replicas.end())
--- a/src/takeover.h
+++ b/src/takeover.h
@@ -7,6 +7,11 @@
 //    longest log is promoted.
 //  - Switchover, the primary is healthy: every replica but the candidate stops receiving, so that
 //    no commit is acknowledged that the candidate does not hold.
+//
+// An order without an answer may be carried out seconds later, by then for a holder of the duty
+// that has ended. The replicas therefore stay suspended until every order that was sent has ended:
+// its instance is primary, or the platform has accepted an order with a higher token. The duty
+// records an order before it is sent, and a holder that finds one finishes it.
 #pragma once
 
 #include "line_config.h"
@@ -34,6 +39,8 @@
   // A holder keeps the duty until its token has not changed for this long, so that its attempt can
   // end.
   Millis m_HolderGracePeriod{2500};
+  // A holder that cannot read the duty relies on that period, less this time for its statements.
+  Millis m_StatementMargin{500};
 };
 
 // State of one group at the host that promotes in it.
@@ -43,7 +50,7 @@
   TimePoint m_UnreachableSince{}; // first of the consecutive failed probes; zero: none
   TimePoint m_NextAttemptAt{};
   TimePoint m_ResumedAt{};        // last time that all replicas were told to receive
-  TimePoint m_DutyTakenAt{};      // last time that this host raised the token
+  TimePoint m_DutyTakenAt{};      // before the last write that raised the token
   uint64_t m_SeenToken = 0;       // of another holder, read in the store or announced
   std::string m_AnnouncedHolder;  // last host whose announcement was not outdated; empty: none
   TimePoint m_AnnouncedAt{};      // last announcement
@@ -59,6 +66,7 @@
   Resume,     // writes stall: an interrupted attempt may have left replicas suspended
   Switchover, // the primary is healthy but leaving: promote a replica in its place
   Failover,   // the primary is unreachable: promote a replica
+  Finish,     // an earlier order may still be carried out: promote, whatever the primary's state
 };
 
 // Chooses the next action for a group from what this host knows of it.
@@ -97,7 +105,9 @@
 // A missing replica is ignored if the candidate holds a position confirmed after that replica left
 // the platform's list: it then holds all earlier commits, and later ones do not depend on that
 // replica.
-std::string chooseFailoverCandidate(const LineGroup &Group, const SuspendResponses &Responses);
+// Of equally long logs, that of an open order is preferred: then its late execution is harmless.
+std::string chooseFailoverCandidate(const LineGroup &Group, const SuspendResponses &Responses,
+                                    const std::set<std::string> &OpenOrders);
 
 // Returns the replica with the longest log that is not leaving; empty if there is none.
 std::string chooseSwitchoverCandidate(const LineGroup &Group,
--- a/tests/store_codec_test.cpp
+++ b/tests/store_codec_test.cpp
@@ -178,11 +178,25 @@
               "%s", To);
   std::string DutyText = R"({"meta":{"name":"g","revision":3},"spec":{"holder":"h","token":8}})";
   cr_assert(std::holds_alternative<PromotionDuty>(decodeDuty(DutyText)));
-  for (auto [From, To] : {std::pair{":8", ":-8"}, {":8", ":1e999"}, {":3", ":-3"}, {"\"h\"", "{}"}})
+  for (auto [From, To] : {std::pair{":8", ":-8"},
+                          {":8", ":1e999"},
+                          {":3", ":-3"},
+                          {"\"h\"", "{}"},
+                          {":8", ":8,\"open_orders\":\"i\""},
+                          {":8", ":8,\"open_orders\":[3]"}})
     cr_expect(std::holds_alternative<std::string>(decodeDuty(replaceText(DutyText, From, To))),
               "%s", To);
 }
 
+// Guards against a holder that does not know of an order that the last one has sent.
+Test(store_codec, dutyKeepsItsOpenOrders) {
+  PromotionDuty Duty{"h", 8, 7, 3, {"i-1", "i-2"}};
+  auto DecodeResult = decodeDuty(encodeDuty("g", Duty));
+  auto *Decoded = std::get_if<PromotionDuty>(&DecodeResult);
+  cr_assert(Decoded && Decoded->m_OpenOrders == Duty.m_OpenOrders);
+  cr_assert(Decoded->m_Holder == "h" && Decoded->m_Token == 8 && Decoded->m_Incarnation == 7);
+}
+
 // Any damage to one entry leaves the entries before and after it, as long as its brackets and
 // quotes are balanced, and no damage at all ends the process.
 Test(store_codec, mutatedPagesNeverEndTheProcess) {
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -94,7 +94,7 @@
   LineGroup Group = makeGroup();
   SuspendResponses Responses;
   Responses.m_Replicas = {{"r1", makeReceivedStatus(5)}, {"r2", makeReceivedStatus(50)}};
-  cr_assert_eq(chooseFailoverCandidate(Group, Responses), "r2");
+  cr_assert_eq(chooseFailoverCandidate(Group, Responses, {}), "r2");
 }
 
 Test(takeover, equal_logs_prefer_a_replica_that_is_not_leaving) {
@@ -102,7 +102,31 @@
   Group.m_Instances["r2"].m_IsLeaving = true;
   SuspendResponses Responses;
   Responses.m_Replicas = {{"r1", makeReceivedStatus(50)}, {"r2", makeReceivedStatus(50)}};
-  cr_assert_eq(chooseFailoverCandidate(Group, Responses), "r1");
+  cr_assert_eq(chooseFailoverCandidate(Group, Responses, {}), "r1");
+}
+
+// Guards against replicas that receive again while an order without an answer may still be carried
+// out: the group gets a primary first, also if the old one answers.
+Test(takeover, open_order_is_finished_before_anything_else) {
+  LineGroup Group = makeGroup();
+  Takeover State;
+  State.m_Duty.m_OpenOrders = {"r1"};
+  addConfirmedPosition(Group.m_History, {{1, 1}, Start - Millis(100)}, Start);
+  cr_assert(assessPrimary(Group, State, Start, Settings) == TakeoverAction::Finish);
+  Group.m_WritesStalled = true;
+  Group.m_WritesStalledAt = Start;
+  cr_assert(assessPrimary(Group, State, Start, Settings) == TakeoverAction::Finish);
+}
+
+// An order for one of two equal logs is open; naming the other one would leave both possible.
+Test(takeover, equal_logs_prefer_that_of_an_open_order) {
+  LineGroup Group = makeGroup();
+  SuspendResponses Responses;
+  Responses.m_Replicas = {{"r1", makeReceivedStatus(50)}, {"r2", makeReceivedStatus(50)}};
+  cr_assert_eq(chooseFailoverCandidate(Group, Responses, {"r1"}), "r1");
+  cr_assert_eq(chooseFailoverCandidate(Group, Responses, {"r2"}), "r2");
+  Responses.m_Replicas["r1"] = makeReceivedStatus(51);
+  cr_assert_eq(chooseFailoverCandidate(Group, Responses, {"r2"}), "r1");
 }
 
 // Guards against losing an acknowledged commit that only the failed primary and the replica that
@@ -112,7 +136,7 @@
   SuspendResponses Responses;
   Responses.m_Replicas = {{"r1", makeReceivedStatus(5)}};
   Responses.m_MissingReplicas = {"r2"};
-  cr_assert_eq(chooseFailoverCandidate(Group, Responses), "");
+  cr_assert_eq(chooseFailoverCandidate(Group, Responses, {}), "");
 }
 
 // Commits acknowledged after a replica has left the platform's list are held by the other replica,
@@ -125,17 +149,17 @@
   SuspendResponses Responses;
   Responses.m_MissingReplicas = {"r2"};
   Responses.m_Replicas = {{"r1", makeReceivedStatus(39)}};
-  cr_assert_eq(chooseFailoverCandidate(Group, Responses), "",
+  cr_assert_eq(chooseFailoverCandidate(Group, Responses, {}), "",
                "lacks the position confirmed since r2 was unlisted");
   Responses.m_Replicas = {{"r1", makeReceivedStatus(40)}};
-  cr_assert_eq(chooseFailoverCandidate(Group, Responses), "r1");
+  cr_assert_eq(chooseFailoverCandidate(Group, Responses, {}), "r1");
 }
 
 // In a network partition, each side has its own first host in rendezvous order. Guards against a
 // second attempt, which would resume the replicas that the first has suspended.
 Test(takeover, holder_keeps_the_duty_for_its_grace_period) {
   Takeover State;
-  PromotionDuty StoredDuty{"other", 4, 7, 17};
+  PromotionDuty StoredDuty{"other", 4, 7, 17, {}};
   cr_assert_not(mayTakeDuty(State, StoredDuty, "self", 7, Start, Settings));
   cr_assert_not(mayTakeDuty(State, StoredDuty, "self", 7, Start + Millis(2000), Settings));
   StoredDuty.m_Token = 5; // the holder has begun another attempt
@@ -160,7 +184,7 @@
 // received its token unchanged for longer than the grace period and need not wait for another one.
 Test(takeover, duty_with_a_long_unchanged_token_is_taken_at_once) {
   Takeover State;
-  PromotionDuty StoredDuty{"other", 3, 7, 5};
+  PromotionDuty StoredDuty{"other", 3, 7, 5, {}};
   noteAnnouncedToken(State, "other", 3, Start);
   noteAnnouncedToken(State, "other", 3, Start + Millis(3000)); // announced repeatedly
   cr_assert(mayTakeDuty(State, StoredDuty, "self", 7, Start + Millis(3000), Settings));
@@ -171,7 +195,7 @@
 Test(takeover, raised_token_restarts_the_grace_period) {
   Takeover State;
   noteAnnouncedToken(State, "other", 2, Start);
-  PromotionDuty StoredDuty{"other", 3, 7, 5};
+  PromotionDuty StoredDuty{"other", 3, 7, 5, {}};
   TimePoint ReadAt = Start + Millis(5000);
   cr_assert_not(mayTakeDuty(State, StoredDuty, "self", 7, ReadAt, Settings));
   cr_assert(
@@ -181,7 +205,7 @@
 // Guards against an old datagram that makes the stored token appear unchanged.
 Test(takeover, late_announcement_of_a_lower_token_is_ignored) {
   Takeover State;
-  PromotionDuty StoredDuty{"other", 3, 7, 5};
+  PromotionDuty StoredDuty{"other", 3, 7, 5, {}};
   cr_assert_not(mayTakeDuty(State, StoredDuty, "self", 7, Start, Settings));
   noteAnnouncedToken(State, "other", 2, Start + Millis(100));
   cr_assert_not(mayTakeDuty(State, StoredDuty, "self", 7, Start + Millis(2000), Settings));
@@ -204,7 +228,7 @@
 // the duty.
 Test(takeover, former_holder_yields_to_a_higher_token) {
   Takeover State;
-  State.m_Duty = {"self", 3, 7, 5};
+  State.m_Duty = {"self", 3, 7, 5, {}};
   State.m_SeenToken = 2;
   cr_assert_eq(choosePromoter(State, "self", "first", Start, Settings), "self");
   noteAnnouncedToken(State, "other", 4, Start);
@@ -213,7 +237,7 @@
 
 Test(takeover, duty_may_be_taken_when_the_grace_period_ends) {
   Takeover State;
-  PromotionDuty StoredDuty{"other", 3, 7, 5};
+  PromotionDuty StoredDuty{"other", 3, 7, 5, {}};
   cr_assert_not(mayTakeDuty(State, StoredDuty, "self", 7, Start, Settings));
   TimePoint GraceEnd = findGraceEnd(State, Settings);
   cr_assert(mayTakeDuty(State, StoredDuty, "self", 7, GraceEnd, Settings));
