Promote only with a complete and current list of instances

Cause: the instances that a process has seen counted as all that exist. A process that starts while expired entries are still coming back cannot tell that the list lacks some, and a list forwarded by another host may be old.

A process now promotes only after the store has been available to it for as long as expired entries take to return, and reads the newest list at the start of each attempt. An instance that answers as primary of the newest term ends the attempt and is recorded as primary.

--- a/src/line_host.h
+++ b/src/line_host.h
@@ -205,6 +205,9 @@
   TimePoint m_ReachableSince{};
   uint64_t m_InstancesRevision = 0; // of the list in use
   TimePoint m_InstancesUpdatedAt{};
+  // When entries that had expired before this process's first list are back in the list if their
+  // instances run; zero before the first list.
+  TimePoint m_InstancesCompleteAt{};
   TimePoint m_LastAnswerAt{}; // last answer to a list or a watch
   TimePoint m_BehindSince{};  // since when another host has had newer data; zero if none has
   std::map<std::string, std::string> m_InstancePayloads; // to forward to other hosts
@@ -339,6 +342,12 @@
 Awaitable<void> syncConfig(LineHost &Host);
 Awaitable<void> syncInstances(LineHost &Host);
 Awaitable<void> registerHost(LineHost &Host);
+// Returns whether this host knows every instance that runs. A process that starts after an outage
+// of the store may read a list that lacks some, and cannot tell.
+bool hasCompleteInstances(const LineHost &Host, TimePoint Now);
+// Reads the newest list of instances from the store and applies what is new in it. Returns whether
+// the store answered.
+Awaitable<bool> refreshInstances(LineHost &Host);
 // Returns whether this host watches the store. Two hubs of each data centre do; while no host that
 // this one hears of has had an answer lately, the other hubs and a few leaves try as well.
 bool shouldWatchStore(const LineHost &Host, TimePoint Now);
--- a/src/line_sync.cpp
+++ b/src/line_sync.cpp
@@ -64,13 +64,22 @@
   return RetryDelay / 2 + Duration(Host.m_Random() % (RetryDelay.count() / 2));
 }
 
+// Delays promotions by a process that has not seen the store available for long enough yet.
+void restartCompletion(StoreSyncState &Store, TimePoint Now) {
+  if (Store.m_InstancesCompleteAt == TimePoint{} || Now < Store.m_InstancesCompleteAt)
+    Store.m_InstancesCompleteAt = Now + ExpiryGracePeriod;
+}
+
 void recordStoreReachability(LineHost &Host, bool IsReachable, std::string_view Call,
                              StoreFault Fault) {
   if (Host.m_Store.m_IsReachable == IsReachable)
     return;
   Host.m_Store.m_IsReachable = IsReachable;
-  if (IsReachable)
+  if (IsReachable) {
     Host.m_Store.m_ReachableSince = bootNow();
+    if (Host.m_Store.m_InstancesCompleteAt != TimePoint{})
+      restartCompletion(Host.m_Store, bootNow());
+  }
   logLine(IsReachable ? LogLevel::Info : LogLevel::Warning,
           IsReachable ? "store_regained" : "store_lost",
           {{"call", std::string(Call)},
@@ -225,6 +234,8 @@
     Host.m_Store.m_InstancesRevision =
         std::max(Host.m_Store.m_InstancesRevision, Changes.m_Revision);
   Host.m_Store.m_InstancesUpdatedAt = bootNow();
+  if (Host.m_Store.m_InstancesCompleteAt == TimePoint{})
+    restartCompletion(Host.m_Store, bootNow());
 }
 
 // Applies a list of all instances. Known instances that are missing from it are treated as deleted.
@@ -412,6 +423,29 @@
           {{"hosts", std::to_string(Host.m_Members.m_Hosts.size())}});
 }
 
+bool hasCompleteInstances(const LineHost &Host, TimePoint Now) {
+  return Host.m_Store.m_InstancesCompleteAt != TimePoint{} &&
+         Now >= Host.m_Store.m_InstancesCompleteAt;
+}
+
+Awaitable<bool> refreshInstances(LineHost &Host) {
+  auto Result =
+      co_await platform::listObjects(Host.m_StoreClient, platform::InstanceKind, Freshness::Newest);
+  auto *List = std::get_if<StoreSnapshot>(&Result);
+  if (!List) {
+    restartCompletion(Host.m_Store, bootNow());
+    co_return false;
+  }
+  // A watch may have shown later changes. Missing entries are left to it, which knows how long the
+  // store has been available.
+  for (const StoredObjectVersion &Object : List->m_Objects) {
+    const LineInstance *Known = findInstance(Host, Object.m_Name);
+    if (!Known || !Known->m_IsListed || Object.m_Revision > Host.m_Store.m_InstancesRevision)
+      applyInstance(Host, Object);
+  }
+  co_return true;
+}
+
 bool shouldWatchStore(const LineHost &Host, TimePoint Now) {
   bool IsStarting =
       Now - Host.m_StartedAt < (Host.m_Store.m_HasHostList ? StartupWait : HostListWait);
--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -427,29 +427,42 @@
   co_return std::string();
 }
 
-// Prepares a failover from a lost primary. Suspends all reachable replicas and chooses the one with
-// the longest log. Returns the candidate, or an empty string if no replica is known to hold every
-// acknowledged commit.
+// Prepares a failover from a lost primary, or the end of an open order. Suspends all reachable
+// replicas and chooses the one with the longest log. Returns the candidate, or an empty string if
+// no replica is known to hold every acknowledged commit, or if a primary answers.
 Awaitable<std::string> prepareFailover(LineHost &Host, LineGroup &Group, Takeover &State) {
-  auto Statuses = collectStatuses(co_await runControlStatements(
-      Host, Group.m_Name, listInstances(Group, true), std::string(platform::StatusText)));
+  const std::set<std::string> OpenOrders = State.m_Duty.m_OpenOrders;
+  // The lost primary is not asked: the wait for its answer would delay every failover.
+  auto Statuses = collectStatuses(
+      co_await runControlStatements(Host, Group.m_Name, listInstances(Group, OpenOrders.empty()),
+                                    std::string(platform::StatusText)));
+  std::string ReportedPrimary = findReportedPrimary(Statuses);
+  if (!ReportedPrimary.empty() && OpenOrders.empty()) {
+    logTakeover(Group, State, "primary_found", "it answers", ReportedPrimary);
+    noteConfirmedPrimary(Group, ReportedPrimary, bootNow());
+    co_return std::string();
+  }
+  // An order for the primary changes nothing but ends the other open orders.
+  if (OpenOrders.contains(ReportedPrimary))
+    co_return ReportedPrimary;
+  std::string Primary = ReportedPrimary.empty() ? Group.m_Primary : ReportedPrimary;
+  uint64_t SuspendTerm = highestTerm(Statuses) + TermMargin;
+  Statuses.erase(Primary);
   // Suspends nothing unless a candidate is likely: this host may be the one that is disconnected.
   SuspendResponses PreliminaryResponses;
   PreliminaryResponses.m_Replicas = Statuses;
-  PreliminaryResponses.m_MissingReplicas = listUnansweredReplicas(Group, Group.m_Primary, Statuses);
-  if (chooseFailoverCandidate(Group, PreliminaryResponses, State.m_Duty.m_OpenOrders).empty())
+  PreliminaryResponses.m_MissingReplicas = listUnansweredReplicas(Group, Primary, Statuses);
+  if (chooseFailoverCandidate(Group, PreliminaryResponses, OpenOrders).empty())
     co_return std::string();
   std::set<std::string> ReachableIds;
   for (const auto &[Id, Status] : Statuses)
     ReachableIds.insert(Id);
   State.m_SuspendedReplicas = ReachableIds;
   SuspendResponses Responses;
-  Responses.m_Replicas = collectStatuses(
-      co_await runControlStatements(Host, Group.m_Name, ReachableIds,
-                                    platform::formatSuspend(highestTerm(Statuses) + TermMargin)));
-  Responses.m_MissingReplicas =
-      listUnansweredReplicas(Group, Group.m_Primary, Responses.m_Replicas);
-  std::string Candidate = chooseFailoverCandidate(Group, Responses, State.m_Duty.m_OpenOrders);
+  Responses.m_Replicas = collectStatuses(co_await runControlStatements(
+      Host, Group.m_Name, ReachableIds, platform::formatSuspend(SuspendTerm)));
+  Responses.m_MissingReplicas = listUnansweredReplicas(Group, Primary, Responses.m_Replicas);
+  std::string Candidate = chooseFailoverCandidate(Group, Responses, OpenOrders);
   logChoice(Group, State, Responses.m_Replicas, Responses.m_MissingReplicas, Candidate);
   co_return Candidate;
 }
@@ -470,7 +483,7 @@
   bool IsLeftToHolder = !HoldsDuty && State.m_SeenToken > State.m_Duty.m_Token;
   bool IsFinished =
       HoldsDuty && Action == TakeoverAction::Finish && State.m_Duty.m_OpenOrders.empty();
-  if (HoldsDuty && !IsFinished) {
+  if (HoldsDuty && !IsFinished && co_await refreshInstances(Host)) {
     if (IsFailover) {
       Group.m_PendingGeneration = State.m_Duty.m_Token;
       Group.m_PendingGenerationAt = bootNow();
@@ -587,6 +600,8 @@
         spawnTask(Host, "probe_primary", probePrimary(Host, Name), EndAttempt);
       } else if (Action == TakeoverAction::Switchover || Action == TakeoverAction::Failover ||
                  Action == TakeoverAction::Finish) {
+        if (!hasCompleteInstances(Host, Now))
+          continue;
         State.m_IsRunning = true;
         spawnTask(Host, "takeover", runTakeover(Host, Name, Action), EndAttempt);
       } else if (Action == TakeoverAction::Resume) {
--- a/src/positions.cpp
+++ b/src/positions.cpp
@@ -99,6 +99,11 @@
   }
 }
 
+void noteConfirmedPrimary(LineGroup &Group, const std::string &Instance, TimePoint Now) {
+  if (Group.m_Primary != Instance)
+    setPrimary(Group, Instance, Now);
+}
+
 void notePromotion(LineGroup &Group, const std::string &Primary, uint64_t Generation,
                    TimePoint Now) {
   if (Generation <= Group.m_Generation)
--- a/src/positions.h
+++ b/src/positions.h
@@ -85,6 +85,9 @@
 // primary, if there is one.
 void noteRole(LineGroup &Group, const std::string &Instance, bool ReportsPrimary, TimePoint Now);
 
+// Records that an instance has answered as the primary of the newest term.
+void noteConfirmedPrimary(LineGroup &Group, const std::string &Instance, TimePoint Now);
+
 // Records a finished promotion. A generation that is not newer than the known one is ignored.
 void notePromotion(LineGroup &Group, const std::string &Primary, uint64_t Generation,
                    TimePoint Now);
--- a/src/takeover.cpp
+++ b/src/takeover.cpp
@@ -96,6 +96,13 @@
   return MissingAreObsolete ? LongestLog->first : std::string();
 }
 
+std::string findReportedPrimary(const std::map<std::string, LineStatus> &Statuses) {
+  auto Newest = std::ranges::max_element(Statuses, {}, [](const auto &Entry) {
+    return std::pair(Entry.second.m_Term, Entry.second.m_IsPrimary);
+  });
+  return Newest != Statuses.end() && Newest->second.m_IsPrimary ? Newest->first : std::string();
+}
+
 std::string chooseSwitchoverCandidate(const LineGroup &Group,
                                       const std::map<std::string, LineStatus> &Replicas) {
   const std::string *Best = nullptr;
--- a/src/takeover.h
+++ b/src/takeover.h
@@ -109,6 +109,10 @@
 std::string chooseFailoverCandidate(const LineGroup &Group, const SuspendResponses &Responses,
                                     const std::set<std::string> &OpenOrders);
 
+// Returns the instance that reports to be primary in the newest term of all; empty if there is
+// none. A former primary may still report that role, in an older term.
+std::string findReportedPrimary(const std::map<std::string, LineStatus> &Statuses);
+
 // Returns the replica with the longest log that is not leaving; empty if there is none.
 std::string chooseSwitchoverCandidate(const LineGroup &Group,
                                       const std::map<std::string, LineStatus> &Replicas);
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -129,6 +129,16 @@
   cr_assert_eq(chooseFailoverCandidate(Group, Responses, {"r2"}), "r1");
 }
 
+// Guards against a failover away from a primary that a host which has just started does not know.
+Test(takeover, answering_primary_of_the_newest_term_is_found) {
+  LineStatus Replica = makeReceivedStatus(50);
+  LineStatus Primary{true, 1, {1, 60}};
+  cr_assert_eq(findReportedPrimary({{"r1", Replica}, {"p", Primary}}), "p");
+  cr_assert_eq(findReportedPrimary({{"r1", Replica}}), "");
+  Replica.m_Term = 2;
+  cr_assert_eq(findReportedPrimary({{"r1", Replica}, {"p", Primary}}), "", "a former primary");
+}
+
 // Guards against losing an acknowledged commit that only the failed primary and the replica that
 // does not answer hold.
 Test(takeover, missing_replica_prevents_the_promotion) {
