Ask replicas whose entries have expired before disregarding them

A replica that could not reach the store lost its entry but went on receiving.

Cause: an expired entry was taken for an instance that has ended. Known instances are now asked and suspended whether they are listed or not; one that answers counts like any other, and only one that gives no answer may be disregarded, as before, if the candidate holds a position confirmed after it left the list. A switchover picks a listed replica.

Evidence: takeover_test unlisted_replica_that_answers_counts.

--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -108,10 +108,12 @@
   co_return Round->m_Answers;
 }
 
+// Unlisted instances are included: one that cannot reach the store loses its entry but goes on
+// receiving and acknowledging.
 std::set<std::string> listInstances(const LineGroup &Group, bool ReplicasOnly) {
   std::set<std::string> Ids;
   for (const auto &[Id, Instance] : Group.m_Instances)
-    if (Instance.m_IsListed && !(ReplicasOnly && Id == Group.m_Primary))
+    if (!(ReplicasOnly && Id == Group.m_Primary))
       Ids.insert(Id);
   return Ids;
 }
@@ -403,7 +405,11 @@
       co_await runControlStatements(Host, Group.m_Name, OtherReplicas,
                                     platform::formatSuspend(highestTerm(Statuses) + TermMargin)));
   State.m_SuspendedReplicas = OtherReplicas;
-  if (SuspendedStatuses.size() != OtherReplicas.size())
+  // An unlisted replica that does not answer counts as gone.
+  bool AllSuspended = std::ranges::all_of(OtherReplicas, [&](const std::string &Id) {
+    return SuspendedStatuses.contains(Id) || !Group.m_Instances.at(Id).m_IsListed;
+  });
+  if (!AllSuspended)
     co_return std::string();
   // The candidate has to hold what was acknowledged before the others were suspended.
   std::set<std::string> PrimaryIds;
--- a/src/takeover.cpp
+++ b/src/takeover.cpp
@@ -109,7 +109,8 @@
   Position BestPosition;
   for (const auto &[Id, Status] : Replicas) {
     auto It = Group.m_Instances.find(Id);
-    if (It == Group.m_Instances.end() || It->second.m_IsLeaving || Status.m_IsPrimary)
+    if (It == Group.m_Instances.end() || It->second.m_IsLeaving || !It->second.m_IsListed ||
+        Status.m_IsPrimary)
       continue;
     if (!Best || Status.m_ReceivedPosition > BestPosition) {
       Best = &Id;
--- a/src/takeover.h
+++ b/src/takeover.h
@@ -102,9 +102,9 @@
 };
 
 // Returns the replica that holds every acknowledged commit; empty if none is certain to.
-// A missing replica is ignored if the candidate holds a position confirmed after that replica left
-// the platform's list: it then holds all earlier commits, and later ones do not depend on that
-// replica.
+// A missing replica is ignored if it has left the platform's list, gives no answer at its address,
+// and the candidate holds a position confirmed after it left: the candidate then holds all earlier
+// commits, and later ones do not depend on an instance that has ended.
 // Of equally long logs, that of an open order is preferred: then its late execution is harmless.
 std::string chooseFailoverCandidate(const LineGroup &Group, const SuspendResponses &Responses,
                                     const std::set<std::string> &OpenOrders);
@@ -113,7 +113,7 @@
 // none. A former primary may still report that role, in an older term.
 std::string findReportedPrimary(const std::map<std::string, LineStatus> &Statuses);
 
-// Returns the replica with the longest log that is not leaving; empty if there is none.
+// Returns the listed replica with the longest log that is not leaving; empty if there is none.
 std::string chooseSwitchoverCandidate(const LineGroup &Group,
                                       const std::map<std::string, LineStatus> &Replicas);
 
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -165,6 +165,20 @@
   cr_assert_eq(chooseFailoverCandidate(Group, Responses, {}), "r1");
 }
 
+// Guards against disregarding a replica whose entry has expired although it runs: its answer
+// counts, and it is promoted if it alone holds the last commits.
+Test(takeover, unlisted_replica_that_answers_counts) {
+  LineGroup Group = makeGroup();
+  Group.m_Instances["r2"].m_IsListed = false;
+  Group.m_Instances["r2"].m_UnlistedSince = Start - Millis(3000);
+  addConfirmedPosition(Group.m_History, {{1, 40}, Start - Millis(1000)}, Start);
+  SuspendResponses Responses;
+  Responses.m_Replicas = {{"r1", makeReceivedStatus(45)}, {"r2", makeReceivedStatus(50)}};
+  cr_assert_eq(chooseFailoverCandidate(Group, Responses, {}), "r2");
+  cr_assert_eq(chooseSwitchoverCandidate(Group, Responses.m_Replicas), "r1",
+               "a switchover waits for a listed one");
+}
+
 // In a network partition, each side has its own first host in rendezvous order. Guards against a
 // second attempt, which would resume the replicas that the first has suspended.
 Test(takeover, holder_keeps_the_duty_for_its_grace_period) {
