Hold the fence until the promotion takes effect

The hosts passed the acknowledgements on although they knew of the promotion.

Cause: the suspension was established once, never confirmed, and answers of the old primary were not checked against the promotion in progress.

- A suspension counts only if the replica's status row shows its term.
- While an order is open, replicas other than the candidate that receive are suspended again.
- The candidate receives from its choice on.
What the old primary acknowledges meanwhile, also to hosts that the promoting one does not reach, passes through the candidate.
- Hosts that know of the promotion answer acknowledged commits of the old primary as in doubt.
- An attempt ends if the primary was confirmed since it was due, and a switchover if the leaving instance is no primary.

Evidence: positions_test acknowledgements_are_withheld_while_the_primary_is_ replaced.

--- a/src/line_dispatch.cpp
+++ b/src/line_dispatch.cpp
@@ -316,8 +316,10 @@
   RunReply Reply = co_await runOnConnection(Connection, Request);
   Dispatch.m_BusyConnections.erase(Connection);
   Dispatch.m_WriteGate.m_InProgressCount -= Request.write() ? 1 : 0;
-  if (Reply.outcome() == RunReply::ANSWERED) {
+  if (Reply.outcome() == RunReply::ANSWERED)
     markReachable(Request.instance(), Dispatch);
+  withholdAcknowledgement(Host, Request.instance(), Request.write(), Reply);
+  if (Reply.outcome() == RunReply::ANSWERED) {
     noteShownPosition(Host, Request.instance(), Reply, Connection->m_SentAt);
   } else
     logLine(LogLevel::Info, "answer_missing",
@@ -466,6 +468,24 @@
 
 } // namespace
 
+void withholdAcknowledgement(LineHost &Host, const std::string &Instance, bool IsWrite,
+                             RunReply &Reply) {
+  const LineGroup *Group = findGroupOf(Host, Instance);
+  bool IsAcknowledged =
+      IsWrite && Reply.outcome() == RunReply::ANSWERED && Reply.error_code().empty();
+  Position Committed{Reply.position().term(), Reply.position().index()};
+  if (!IsAcknowledged || !Group || mayAcknowledge(*Group, Instance, Committed, bootNow()))
+    return;
+  countEvent(*Host.m_Metrics, "acknowledgement_withheld");
+  logLine(LogLevel::Info, "acknowledgement_withheld",
+          {{"instance", Instance},
+           {"group", Group->m_Name},
+           {"primary", Group->m_Primary},
+           {"pending", std::to_string(Group->m_PendingGeneration)},
+           {"position", fmt::format("{}.{}", Committed.m_Term, Committed.m_Index)}});
+  Reply = makeFailureReply(RunReply::LOST, Reason::OutcomeUnknown);
+}
+
 Duration expectedWait(const InstanceDispatch &Dispatch) {
   Duration ServiceTime = Dispatch.m_ServiceTime == Duration::zero() ? Duration(InitialServiceTime)
                                                                     : Dispatch.m_ServiceTime;
--- a/src/line_host.h
+++ b/src/line_host.h
@@ -286,6 +286,11 @@
 // Closes idle connections to instances that other hosts now dispatch to.
 void retireDispatches(LineHost &Host, TimePoint Now);
 
+// Turns the acknowledgement of a commit that may not be passed on into a lost answer. IsWrite: the
+// statement writes or commits.
+void withholdAcknowledgement(LineHost &Host, const std::string &Instance, bool IsWrite,
+                             line::RunReply &Reply);
+
 // Estimates the wait for a slot.
 Duration expectedWait(const InstanceDispatch &Dispatch);
 
--- a/src/line_session.cpp
+++ b/src/line_session.cpp
@@ -205,6 +205,7 @@
 
 Awaitable<RunReply> runAttempt(LineHost &Host, RunRequest Request, std::string &Dispatcher) {
   std::string Instance = Request.instance();
+  bool IsWrite = Request.write();
   TimePoint SentAt = bootNow();
   if (LineInstance *InstanceState = findInstance(Host, Instance))
     ++InstanceState->m_OutstandingCount;
@@ -212,6 +213,7 @@
   if (LineInstance *InstanceState = findInstance(Host, Instance);
       InstanceState && InstanceState->m_OutstandingCount > 0)
     --InstanceState->m_OutstandingCount;
+  withholdAcknowledgement(Host, Instance, IsWrite, Reply);
   updateFromReply(Host, Instance, Reply, SentAt);
   co_return Reply;
 }
--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -138,6 +138,14 @@
   return Result;
 }
 
+// Keeps the statuses of the replicas that confirm to be suspended.
+std::map<std::string, LineStatus>
+collectSuspended(const std::map<std::string, ControlAnswer> &Answers, uint64_t Term) {
+  auto Result = collectStatuses(Answers);
+  std::erase_if(Result, [&](const auto &Entry) { return Entry.second.m_SuspendTerm < Term; });
+  return Result;
+}
+
 void logTakeover(const LineGroup &Group, Takeover &State, std::string_view Event,
                  std::string ReasonText, const std::string &Instance = "") {
   State.m_LastReason = ReasonText;
@@ -326,6 +334,42 @@
   State.m_IsRunning = false;
 }
 
+// Sets the pending generation, which stops writes and acknowledgements at all hosts that hear of
+// it.
+void announcePromotion(LineHost &Host, LineGroup &Group, const Takeover &State) {
+  Group.m_PendingGeneration = State.m_Duty.m_Token;
+  Group.m_PendingGenerationAt = bootNow();
+  sendGossip(Host, bootNow());
+}
+
+// Suspends the replicas other than the candidate that receive although a promotion is under way:
+// new ones, and those that have restarted or that a former holder of the duty has resumed.
+Awaitable<void> renewSuspension(LineHost &Host, std::string GroupName, std::string Candidate) {
+  LineGroup &Group = Host.m_Groups[GroupName];
+  Takeover &State = Host.m_Takeovers[GroupName];
+  auto Statuses = collectStatuses(co_await runControlStatements(
+      Host, GroupName, listInstances(Group, true), std::string(platform::StatusText)));
+  bool HasEnded = State.m_Duty.m_OpenOrders.empty() ||
+                  (Statuses.contains(Candidate) && Statuses[Candidate].m_IsPrimary);
+  std::erase_if(Statuses, [&](const auto &Entry) {
+    return Entry.first == Candidate || Entry.second.m_IsPrimary ||
+           Entry.second.m_SuspendTerm >= State.m_SuspendTerm;
+  });
+  if (!HasEnded && !Statuses.empty()) {
+    std::set<std::string> ReceivingIds;
+    for (const auto &[Id, Status] : Statuses)
+      ReceivingIds.insert(Id);
+    logTakeover(Group, State, "suspension_renewed", describeReplicas(Statuses), Candidate);
+    countEvent(*Host.m_Metrics, "suspension_renewed");
+    if (Group.m_PendingGeneration == 0)
+      announcePromotion(Host, Group, State);
+    State.m_SuspendedReplicas.insert(ReceivingIds.begin(), ReceivingIds.end());
+    co_await runControlStatements(Host, GroupName, ReceivingIds,
+                                  platform::formatSuspend(State.m_SuspendTerm));
+  }
+  State.m_IsRenewingSuspension = false;
+}
+
 // Orders the promotion of an instance and waits until it is primary. Returns whether it is, and
 // every earlier order has ended. The open orders of the duty are those that may still be carried
 // out afterwards.
@@ -333,6 +377,11 @@
   PromotionDuty NewDuty = State.m_Duty;
   NewDuty.m_OpenOrders.insert(Candidate);
   bool HasEarlierOrder = !State.m_Duty.m_OpenOrders.empty();
+  // From here on the candidate receives: if the primary still works somewhere, what it acknowledges
+  // passes through the candidate, which leads with all that it holds when the order takes effect.
+  std::set<std::string> CandidateIds;
+  CandidateIds.insert(Candidate);
+  co_await resumeReplicas(Host, Group.m_Name, CandidateIds);
   // Fails if another host has taken the duty since.
   if (!co_await writeDuty(Host, Group, State, std::move(NewDuty)))
     co_return false;
@@ -366,6 +415,10 @@
     }
     if (Group.m_PendingGeneration != 0)
       Group.m_PendingGenerationAt = bootNow();
+    // Not awaited: a replica that does not answer must not delay the end of the promotion.
+    if (!std::exchange(State.m_IsRenewingSuspension, true))
+      spawnTask(Host, "renew_suspension", renewSuspension(Host, Group.m_Name, Candidate),
+                [&State] { State.m_IsRenewingSuspension = false; });
     const LineInstance *Target = findInstance(Host, Candidate);
     if (!Target)
       break;
@@ -401,10 +454,12 @@
     co_return std::string();
   std::set<std::string> OtherReplicas = listInstances(Group, true);
   OtherReplicas.erase(Candidate);
-  auto SuspendedStatuses = collectStatuses(
-      co_await runControlStatements(Host, Group.m_Name, OtherReplicas,
-                                    platform::formatSuspend(highestTerm(Statuses) + TermMargin)));
+  State.m_SuspendTerm = highestTerm(Statuses) + TermMargin;
   State.m_SuspendedReplicas = OtherReplicas;
+  auto SuspendedStatuses =
+      collectSuspended(co_await runControlStatements(Host, Group.m_Name, OtherReplicas,
+                                                     platform::formatSuspend(State.m_SuspendTerm)),
+                       State.m_SuspendTerm);
   // An unlisted replica that does not answer counts as gone.
   bool AllSuspended = std::ranges::all_of(OtherReplicas, [&](const std::string &Id) {
     return SuspendedStatuses.contains(Id) || !Group.m_Instances.at(Id).m_IsListed;
@@ -416,7 +471,8 @@
   PrimaryIds.insert(Group.m_Primary);
   auto PrimaryStatuses = collectStatuses(co_await runControlStatements(
       Host, Group.m_Name, PrimaryIds, std::string(platform::StatusText)));
-  if (PrimaryStatuses.empty())
+  // A replica's position says nothing of what was acknowledged.
+  if (PrimaryStatuses.empty() || !PrimaryStatuses.begin()->second.m_IsPrimary)
     co_return std::string();
   logChoice(Group, State, SuspendedStatuses, {}, Candidate);
   Position RequiredPosition = PrimaryStatuses.begin()->second.m_ReceivedPosition;
@@ -452,7 +508,7 @@
   if (OpenOrders.contains(ReportedPrimary))
     co_return ReportedPrimary;
   std::string Primary = ReportedPrimary.empty() ? Group.m_Primary : ReportedPrimary;
-  uint64_t SuspendTerm = highestTerm(Statuses) + TermMargin;
+  State.m_SuspendTerm = highestTerm(Statuses) + TermMargin;
   Statuses.erase(Primary);
   // Suspends nothing unless a candidate is likely: this host may be the one that is disconnected.
   SuspendResponses PreliminaryResponses;
@@ -465,8 +521,10 @@
     ReachableIds.insert(Id);
   State.m_SuspendedReplicas = ReachableIds;
   SuspendResponses Responses;
-  Responses.m_Replicas = collectStatuses(co_await runControlStatements(
-      Host, Group.m_Name, ReachableIds, platform::formatSuspend(SuspendTerm)));
+  Responses.m_Replicas =
+      collectSuspended(co_await runControlStatements(Host, Group.m_Name, ReachableIds,
+                                                     platform::formatSuspend(State.m_SuspendTerm)),
+                       State.m_SuspendTerm);
   Responses.m_MissingReplicas = listUnansweredReplicas(Group, Primary, Responses.m_Replicas);
   std::string Candidate = chooseFailoverCandidate(Group, Responses, OpenOrders);
   logChoice(Group, State, Responses.m_Replicas, Responses.m_MissingReplicas, Candidate);
@@ -489,11 +547,12 @@
   bool IsLeftToHolder = !HoldsDuty && State.m_SeenToken > State.m_Duty.m_Token;
   bool IsFinished =
       HoldsDuty && Action == TakeoverAction::Finish && State.m_Duty.m_OpenOrders.empty();
-  if (HoldsDuty && !IsFinished && co_await refreshInstances(Host)) {
-    if (IsFailover) {
-      Group.m_PendingGeneration = State.m_Duty.m_Token;
-      Group.m_PendingGenerationAt = bootNow();
-    }
+  bool IsListed = HoldsDuty && !IsFinished && co_await refreshInstances(Host);
+  // Other hosts may have heard from the primary since.
+  bool IsStillDue = IsListed && assessPrimary(Group, State, bootNow(), DefaultSettings) == Action;
+  if (IsStillDue) {
+    if (IsFailover)
+      announcePromotion(Host, Group, State);
     if (IsFailover)
       Candidate = co_await prepareFailover(Host, Group, State);
     else
@@ -521,6 +580,8 @@
     HoldsDutyStill = co_await holdsDuty(Host, GroupName, State);
   if (HoldsDutyStill && !IsOrderOpen) {
     SuspendedIds.merge(listInstances(Group, true));
+    while (State.m_IsRenewingSuspension) // it would suspend a replica again after this
+      co_await sleepFor(Host.m_Io, PollInterval);
     logTakeover(Group, State, "replicas_resumed",
                 IsPromoted ? "promotion done" : "attempt without an order ended",
                 fmt::format("{}", fmt::join(SuspendedIds, " ")));
@@ -530,6 +591,8 @@
   logTakeover(Group, State, IsPromoted || IsFinished ? "takeover_done" : "takeover_failed",
               IsFinished          ? "the order took effect"
               : !HoldsDuty        ? "the duty is not held"
+              : !IsListed         ? "the instances could not be listed"
+              : !IsStillDue       ? "the primary's state has changed"
               : Candidate.empty() ? "no instance holds every commit for certain"
               : IsOrderOpen       ? "an order is open; the replicas stay suspended"
                                   : "",
--- a/src/positions.cpp
+++ b/src/positions.cpp
@@ -184,8 +184,25 @@
   return Best ? Best->m_Id : std::string();
 }
 
+namespace {
+
+bool isPromotionPending(const LineGroup &Group, TimePoint Now) {
+  return Group.m_PendingGeneration != 0 &&
+         Now - Group.m_PendingGenerationAt < PendingPromotionTimeout;
+}
+
+} // namespace
+
+bool mayAcknowledge(const LineGroup &Group, const std::string &Instance, Position Committed,
+                    TimePoint Now) {
+  auto NewestPosition = newestConfirmedPosition(Group.m_History);
+  if (NewestPosition && Committed.m_Term > NewestPosition->m_Position.m_Term)
+    return true;
+  return Group.m_Primary == Instance && !isPromotionPending(Group, Now);
+}
+
 bool expectsPrimary(const LineGroup &Group, TimePoint Now) {
-  if (Group.m_PendingGeneration != 0 && Now - Group.m_PendingGenerationAt < PendingPromotionTimeout)
+  if (isPromotionPending(Group, Now))
     return true;
   auto NewestPosition = newestConfirmedPosition(Group.m_History);
   TimePoint Last =
@@ -194,10 +211,8 @@
 }
 
 bool hasPrimary(const LineGroup &Group, TimePoint Now) {
-  bool IsPromotionPending =
-      Group.m_PendingGeneration != 0 && Now - Group.m_PendingGenerationAt < PendingPromotionTimeout;
   auto It = Group.m_Instances.find(Group.m_Primary);
-  if (IsPromotionPending || It == Group.m_Instances.end() || !It->second.m_IsListed)
+  if (isPromotionPending(Group, Now) || It == Group.m_Instances.end() || !It->second.m_IsListed)
     return false;
   return !It->second.m_IsLeaving || Now < It->second.m_AcceptsWorkUntil;
 }
--- a/src/positions.h
+++ b/src/positions.h
@@ -117,6 +117,12 @@
 // the last primary was confirmed more recently than a normal recovery takes.
 bool expectsPrimary(const LineGroup &Group, TimePoint Now);
 
+// Whether an instance's acknowledgement of a commit may be passed on. While the instance is being
+// replaced, and after, its successor's log may lack the commit. Committed: the position that the
+// acknowledgement shows; in a newer term than the known primary's, it is that of the successor.
+bool mayAcknowledge(const LineGroup &Group, const std::string &Instance, Position Committed,
+                    TimePoint Now);
+
 // Whether writes may be sent to the known primary now.
 bool hasPrimary(const LineGroup &Group, TimePoint Now);
 
--- a/src/takeover.cpp
+++ b/src/takeover.cpp
@@ -72,7 +72,8 @@
                                     const std::set<std::string> &OpenOrders) {
   auto Rank = [&](const auto &Entry) {
     auto It = Group.m_Instances.find(Entry.first);
-    bool IsStaying = It != Group.m_Instances.end() && !It->second.m_IsLeaving;
+    bool IsStaying =
+        It != Group.m_Instances.end() && !It->second.m_IsLeaving && It->second.m_IsListed;
     return std::tuple(Entry.second.m_ReceivedPosition, OpenOrders.contains(Entry.first), IsStaying);
   };
   auto LongestLog = std::ranges::max_element(Responses.m_Replicas, {}, Rank);
--- a/src/takeover.h
+++ b/src/takeover.h
@@ -4,9 +4,11 @@
 // A commit is acknowledged when the primary and at least m_SyncReplicas replicas hold it. A
 // promotion must not lose an acknowledged commit, so the candidate has to hold all of them:
 //  - Failover, the primary is lost: every reachable replica stops receiving, and the one with the
-//    longest log is promoted.
-//  - Switchover, the primary is healthy: every replica but the candidate stops receiving, so that
-//    no commit is acknowledged that the candidate does not hold.
+//    longest log is chosen.
+//  - Switchover, the primary is healthy: a replica is chosen, and the others stop receiving.
+// In both cases the chosen one receives until the promotion takes effect, and no other replica
+// does: whatever the primary acknowledges meanwhile, to hosts that this one may not reach, passes
+// through the candidate.
 //
 // An order without an answer may be carried out seconds later, by then for a holder of the duty
 // that has ended. The replicas therefore stay suspended until every order that was sent has ended:
@@ -57,7 +59,9 @@
   TimePoint m_TokenFirstSeenAt{}; // first time that m_SeenToken was seen
   TimePoint m_ProbedAt{};         // last probe of the primary
   std::set<std::string> m_SuspendedReplicas; // ordered by this host to stop receiving
-  std::string m_LastReason;                  // of the last step, for the state dump
+  uint64_t m_SuspendTerm = 0;                // of that order
+  bool m_IsRenewingSuspension = false;
+  std::string m_LastReason; // of the last step, for the state dump
 };
 
 enum class TakeoverAction {
--- a/tests/positions_test.cpp
+++ b/tests/positions_test.cpp
@@ -190,3 +190,19 @@
   Group.m_PendingGenerationAt = Start + Millis(3400);
   cr_assert(expectsPrimary(Group, Start + Millis(3500)), "a promotion is in progress");
 }
+
+// Guards against an acknowledgement that leaves although the log of the next primary lacks the
+// commit: a replica that joins during a promotion lets the old primary acknowledge.
+Test(positions, acknowledgements_are_withheld_while_the_primary_is_replaced) {
+  LineGroup Group = makeGroup();
+  Position Old{3, 100};
+  addConfirmedPosition(Group.m_History, {Old, Start}, Start);
+  cr_assert(mayAcknowledge(Group, "p", {3, 101}, Start));
+  Group.m_PendingGeneration = 4;
+  Group.m_PendingGenerationAt = Start;
+  cr_assert_not(mayAcknowledge(Group, "p", {3, 101}, Start));
+  cr_assert(mayAcknowledge(Group, "r1", {4, 101}, Start), "the successor leads a newer term");
+  notePromotion(Group, "r1", 4, Start);
+  cr_assert_not(mayAcknowledge(Group, "p", {3, 102}, Start), "it has been replaced");
+  cr_assert(mayAcknowledge(Group, "r1", {4, 102}, Start));
+}
