--- /dev/null
+++ b/src/line_caller.cpp
@@ -0,0 +1,200 @@
+// Life cycle of callers' sessions: accepting them, reading and answering their messages, and
+// closing them.
+#include "line_session.h"
+
+#include "platform/line_codec.h"
+
+#include <fmt/format.h>
+
+namespace quetzalpaddle {
+
+namespace {
+
+// A session without a statement for this long is closed.
+constexpr std::chrono::minutes SessionIdleTimeout{10};
+// Further sessions are refused. Each session uses about 10 KB and a file descriptor.
+constexpr size_t MaxSessions = 2000;
+
+// Counts one more until the end of its scope, also if an error ends it.
+struct CountGuard {
+  explicit CountGuard(size_t &Count) : m_Count(Count) { ++m_Count; }
+  ~CountGuard() { --m_Count; }
+  CountGuard(const CountGuard &) = delete;
+  CountGuard &operator=(const CountGuard &) = delete;
+  size_t &m_Count;
+};
+
+AnswerClass classifyAnswer(const CallerAnswer &Answer) {
+  if (Answer.m_ErrorCode.empty())
+    return AnswerClass::Done;
+  bool IsOutcomeUnknown = Answer.m_ErrorCode == "INDOUBT" || Answer.m_ErrorCode == "TIMEOUT" ||
+                          Answer.m_ErrorCode == "FAILED";
+  return IsOutcomeUnknown ? AnswerClass::Unknown : AnswerClass::NotRun;
+}
+
+void reportAnswer(LineHost &Host, const CallerSession &Session, const Statement &Stmt,
+                  const CallerAnswer &Answer, Duration Elapsed) {
+  countAnswer(*Host.m_Metrics, Session.m_Database, "", classifyAnswer(Answer), Answer.m_Reason,
+              Elapsed, false);
+  if (Answer.m_ErrorCode.empty())
+    return;
+  const SessionTransaction &Transaction = Session.m_Transaction;
+  logLine(
+      LogLevel::Info, "statement_failed",
+      {{"id", Stmt.m_Id},
+       {"verb", Stmt.m_Text.substr(0, Stmt.m_Text.find(' '))}, // without the caller's data
+       {"database", Session.m_Database},
+       {"code", Answer.m_ErrorCode},
+       {"why", std::string(reasonName(Answer.m_Reason))},
+       {"detail", Answer.m_ErrorText},
+       {"took_ms",
+        fmt::format("{:.1f}", std::chrono::duration<double, std::milli>(Elapsed).count())},
+       {"config", std::to_string(Host.m_Config ? Host.m_Config->m_Version : 0)},
+       {"inputs", Answer.m_DecisionInputs},
+       {"transaction",
+        Transaction.m_IsBegun ? Transaction.m_Instance + " by " + Transaction.m_Dispatcher : ""}});
+}
+
+std::string formatAnswer(const CallerSession &Session, const CallerAnswer &Answer) {
+  std::string Output;
+  for (const std::string &Row : Answer.m_Rows)
+    Output += platform::formatRow(Row);
+  Output += Answer.m_ErrorCode.empty()
+                ? platform::formatComplete(Answer.m_Digest)
+                : platform::formatError(Answer.m_ErrorCode, Answer.m_ErrorText);
+  Output += platform::formatReady(Session.m_State.m_Transaction, Session.m_ShownPosition);
+  return Output;
+}
+
+// Reads the CONNECT message and answers it. Returns whether the session continues.
+Awaitable<bool> connectCaller(LineHost &Host, CallerSession &Session) {
+  auto Line = co_await readLine(Session.m_Transport, platform::MaxMessageBytes);
+  if (!Line)
+    co_return false;
+  auto Message = platform::parseCallerMessage(*Line);
+  auto *Connect = std::get_if<platform::ConnectMessage>(&Message);
+  if (!Connect) {
+    co_await writeText(Session.m_Transport,
+                       platform::formatError("MALFORMED", "CONNECT comes first"));
+    co_return false;
+  }
+  Session.m_Database = Connect->m_Database;
+  Session.m_Key = Connect->m_Key;
+  auto Authorization = checkPermission(Host, Session);
+  if (auto *Rejection = std::get_if<CallerAnswer>(&Authorization)) {
+    logLine(LogLevel::Info, "connect_refused",
+            {{"database", Session.m_Database},
+             {"code", Rejection->m_ErrorCode},
+             {"config", std::to_string(Host.m_Config ? Host.m_Config->m_Version : 0)}});
+    co_await writeText(Session.m_Transport,
+                       platform::formatError(Rejection->m_ErrorCode, Rejection->m_ErrorText));
+    co_return false;
+  }
+  co_return co_await writeText(Session.m_Transport,
+                               platform::formatReady(TransactionState::None, std::nullopt));
+}
+
+// Reads the next message. Returns nothing if the session is over. An open transaction fails once it
+// has been idle for the configured time.
+Awaitable<std::optional<std::string>> readMessage(LineHost &Host, CallerSession &Session) {
+  if (hasLine(Session.m_Transport))
+    co_return co_await readLine(Session.m_Transport, platform::MaxMessageBytes);
+  bool IsTransactionOpen = Session.m_State.m_Transaction == TransactionState::Open;
+  std::optional<ScopedDeadline> IdleDeadline;
+  if (IsTransactionOpen && Host.m_Config)
+    IdleDeadline.emplace(
+        Host.m_DeadlineQueue, bootNow() + Host.m_Config->m_TransactionIdleTimeout,
+        [&Host, &Session] {
+          logLine(LogLevel::Info, "transaction_idle", {{"database", Session.m_Database}});
+          abandonAtInstance(Host, Session.m_Transaction);
+          Session.m_State.m_Transaction = TransactionState::Failed;
+        });
+  else
+    IdleDeadline.emplace(Host.m_DeadlineQueue, bootNow() + SessionIdleTimeout,
+                         [&Session] { closeSocket(Session.m_Transport.m_Socket); });
+  co_return co_await readLine(Session.m_Transport, platform::MaxMessageBytes);
+}
+
+// Whether bytes have arrived that were not read yet.
+bool hasUnreadBytes(const CallerSession &Session) {
+  boost::system::error_code Error; // a failed socket has nothing to read
+  return Session.m_Transport.m_Socket.available(Error) > 0 && !Error;
+}
+
+bool isIdle(const CallerSession &Session) {
+  return Session.m_State.m_Transaction == TransactionState::None && !hasLine(Session.m_Transport) &&
+         !hasUnreadBytes(Session);
+}
+
+Awaitable<void> serveStatements(LineHost &Host, CallerSession &Session, bool &IsStatementRunning) {
+  while (!(Host.m_IsStopping && isIdle(Session))) {
+    auto Line = co_await readMessage(Host, Session);
+    if (!Line) {
+      // The read was cancelled because the host stops, and a request arrived just then.
+      if (Host.m_IsStopping && hasUnreadBytes(Session))
+        continue;
+      if (Session.m_Transport.m_IsTooLong)
+        co_await writeText(Session.m_Transport,
+                           platform::formatError("MALFORMED", "message too long"));
+      co_return;
+    }
+    auto Message = platform::parseCallerMessage(*Line);
+    if (std::holds_alternative<platform::ReleaseMessage>(Message))
+      co_return;
+    auto *Stmt = std::get_if<Statement>(&Message);
+    CallerAnswer Answer = refuse("MALFORMED", "not a message of a session", Reason::BadRequest);
+    TimePoint StartedAt = bootNow();
+    if (Stmt) {
+      IsStatementRunning = true;
+      CountGuard StatementGuard(Host.m_RunningStatementCount);
+      Answer = co_await runStatement(Host, Session, *Stmt);
+      reportAnswer(Host, Session, *Stmt, Answer, bootNow() - StartedAt);
+    }
+    bool IsWritten = co_await writeText(Session.m_Transport, formatAnswer(Session, Answer));
+    IsStatementRunning = false;
+    bool IsUnauthorized = Answer.m_Reason == Reason::BadKey || Answer.m_Reason == Reason::NoRoute ||
+                          Answer.m_Reason == Reason::KeyWithdrawn;
+    if (!IsWritten || IsUnauthorized)
+      co_return;
+  }
+}
+
+Awaitable<void> serveCaller(LineHost &Host, Tcp::socket Socket) {
+  configureSocket(Socket);
+  CallerSession Session(std::move(Socket));
+  CountGuard SessionGuard(Host.m_SessionCount);
+  bool IsStatementRunning = false;
+  // Ends the session if it is idle while the host stops; the caller then connects to another host.
+  // The read is cancelled and the socket not closed: a read that has a request already completes
+  // with it, and the request is answered.
+  std::optional<ScopedDeadline> NextCheck;
+  std::function<void()> EndIfStopping = [&] {
+    boost::system::error_code IgnoredError; // the socket may be closed already
+    if (Host.m_IsStopping && !IsStatementRunning && isIdle(Session))
+      Session.m_Transport.m_Socket.cancel(IgnoredError);
+    NextCheck.emplace(Host.m_DeadlineQueue, bootNow() + Millis(500), EndIfStopping);
+  };
+  EndIfStopping();
+  if (co_await connectCaller(Host, Session))
+    co_await serveStatements(Host, Session, IsStatementRunning);
+  abandonAtInstance(Host, Session.m_Transaction);
+  closeSocket(Session.m_Transport.m_Socket);
+}
+
+} // namespace
+
+Awaitable<void> acceptCallers(LineHost &Host, Tcp::acceptor &Acceptor) {
+  for (;;) {
+    auto [Error, Socket] = co_await Acceptor.async_accept(AsTuple);
+    if (Error) {
+      co_await sleepFor(Host.m_Io, Millis(50)); // most likely out of file descriptors
+      continue;
+    }
+    if (Host.m_SessionCount < MaxSessions)
+      spawnTask(Host, "serve_caller", serveCaller(Host, std::move(Socket)));
+    else
+      logLine(LogLevel::Warning, "session_refused", {{"sessions", std::to_string(MaxSessions)}});
+  }
+}
+
+} // namespace quetzalpaddle
--- a/src/line_host.h
+++ b/src/line_host.h
@@ -5,7 +5,7 @@
 // [SECTION] Settings
 // [SECTION] Dispatcher of an instance (line_dispatch.cpp)
 // [SECTION] Other hosts (line_peer.cpp, line_gossip.cpp, line_updates.cpp)
-// [SECTION] Callers' sessions (line_session.cpp)
+// [SECTION] Callers' sessions (line_caller.cpp, line_session.cpp)
 // [SECTION] Platform's store (line_sync.cpp)
 // [SECTION] Promotions (line_takeover.cpp)
 // [SECTION] The host
@@ -330,7 +330,7 @@
 // and list of instances, otherwise an empty string.
 std::string applyUpdate(LineHost &Host, std::string_view Bytes, TimePoint Now);
 
-// --- line_session.cpp ---
+// --- line_caller.cpp ---
 
 Awaitable<void> acceptCallers(LineHost &Host, Tcp::acceptor &Acceptor);
 
--- a/src/line_session.cpp
+++ b/src/line_session.cpp
@@ -1,4 +1,4 @@
-// Sessions of callers: checks of route, key and rate, choice of an instance, retries, and
+// Statements of callers: checks of route, key and rate, choice of an instance, retries, and
 // transactions.
 //
 // A statement is retried only if it cannot have taken effect: it was not sent, the instance
@@ -6,7 +6,7 @@
 // reported as in doubt. A transaction is bound to one connection from its first statement on. Its
 // begin is answered by the host alone, so that a caller that pauses after it occupies no
 // connection.
-#include "line_host.h"
+#include "line_session.h"
 
 #include "platform/line_codec.h"
 
@@ -23,57 +23,10 @@
 constexpr int MaxAttempts = 4;
 // Pause after an attempt at the primary, and between checks while no instance qualifies.
 constexpr Millis RetryDelay{20};
-// A session without a statement for this long is closed.
-constexpr std::chrono::minutes SessionIdleTimeout{10};
 // How long an open transaction may continue after its key was withdrawn.
 constexpr Millis WithdrawnKeyGracePeriod{1500};
-// Further sessions are refused. Each session uses about 10 KB and a file descriptor.
-constexpr size_t MaxSessions = 2000;
-
-// The host's answer to a statement.
-struct CallerAnswer {
-  std::vector<std::string> m_Rows;
-  std::string m_Digest;
-  std::string m_ErrorCode; // empty = success
-  std::string m_ErrorText;
-  Reason m_Reason = Reason::None; // for logs and metrics
-  std::string m_DecisionInputs;   // data behind the decision, with ages; for logs
-};
-
-// Counts one more until the end of its scope, also if an error ends it.
-struct CountGuard {
-  explicit CountGuard(size_t &Count) : m_Count(Count) { ++m_Count; }
-  ~CountGuard() { --m_Count; }
-  CountGuard(const CountGuard &) = delete;
-  CountGuard &operator=(const CountGuard &) = delete;
-  size_t &m_Count;
-};
-
-struct SessionTransaction {
-  bool m_IsBegun = false; // the caller has begun it
-  bool m_IsOpen = false;  // open at an instance
-  bool m_HasWritten = false;
-  bool m_IsReadOnly = false;
-  std::string m_BeginId;
-  TimePoint m_BegunAt{};
-  LineRoute m_Route; // at the time of its begin
-  std::string m_Customer;
-  std::string m_Instance;
-  std::string m_Dispatcher;
-  uint64_t m_TransactionId = 0;
-};
 
-struct CallerSession {
-  explicit CallerSession(Tcp::socket Socket) : m_Transport(std::move(Socket)) {}
-  LineConnection m_Transport;
-  std::string m_Database;
-  std::string m_Key;
-  SessionState m_State;
-  SessionTransaction m_Transaction;
-  std::string m_CommitGroup;               // group that m_CommitPosition belongs to
-  Position m_CommitPosition;               // position of the session's last commit
-  std::optional<Position> m_ShownPosition; // position last sent to the caller
-};
+} // namespace
 
 CallerAnswer refuse(std::string_view Code, std::string_view Text, Reason AnswerReason) {
   CallerAnswer Answer;
@@ -83,14 +36,6 @@
   return Answer;
 }
 
-// --- Authorization ---
-
-// What an authorized caller may use.
-struct Permission {
-  LineRoute m_Route;
-  std::string m_Customer;
-};
-
 std::variant<Permission, CallerAnswer> checkPermission(const LineHost &Host,
                                                        const CallerSession &Session) {
   if (!canUseConfig(Host, bootNow()))
@@ -105,6 +50,8 @@
   return Permission{Route->second, IsKnownKey ? Key->second : "-"};
 }
 
+namespace {
+
 // --- Choice of an instance ---
 
 // The instance chosen for an attempt, and conditions that it has to meet.
@@ -342,7 +289,8 @@
   return refuse("BUSY", reasonName(RefusalReason), RefusalReason);
 }
 
-// Asks the dispatcher to roll back a transaction that is open at an instance, without waiting.
+} // namespace
+
 void abandonAtInstance(LineHost &Host, SessionTransaction &Transaction) {
   if (!Transaction.m_IsOpen)
     return;
@@ -358,6 +306,8 @@
   spawnTask(Host, "abandon", Send(Host, std::move(Request), Transaction.m_Dispatcher));
 }
 
+namespace {
+
 Awaitable<CallerAnswer> runWithRetries(LineHost &Host, CallerSession &Session,
                                        const StatementRun &Run) {
   TimePoint Deadline = bootNow() + Run.m_Route->m_Timeout;
@@ -543,6 +493,8 @@
   co_return Answer;
 }
 
+} // namespace
+
 Awaitable<CallerAnswer> runStatement(LineHost &Host, CallerSession &Session,
                                      const Statement &Stmt) {
   bool WasOpen = Session.m_State.m_Transaction == TransactionState::Open;
@@ -567,179 +519,4 @@
   co_return co_await runSingleStatement(Host, Session, Stmt, CallerPermission);
 }
 
-// --- The session ---
-
-AnswerClass classifyAnswer(const CallerAnswer &Answer) {
-  if (Answer.m_ErrorCode.empty())
-    return AnswerClass::Done;
-  bool IsOutcomeUnknown = Answer.m_ErrorCode == "INDOUBT" || Answer.m_ErrorCode == "TIMEOUT" ||
-                          Answer.m_ErrorCode == "FAILED";
-  return IsOutcomeUnknown ? AnswerClass::Unknown : AnswerClass::NotRun;
-}
-
-void reportAnswer(LineHost &Host, const CallerSession &Session, const Statement &Stmt,
-                  const CallerAnswer &Answer, Duration Elapsed) {
-  countAnswer(*Host.m_Metrics, Session.m_Database, "", classifyAnswer(Answer), Answer.m_Reason,
-              Elapsed, false);
-  if (Answer.m_ErrorCode.empty())
-    return;
-  const SessionTransaction &Transaction = Session.m_Transaction;
-  logLine(
-      LogLevel::Info, "statement_failed",
-      {{"id", Stmt.m_Id},
-       {"verb", Stmt.m_Text.substr(0, Stmt.m_Text.find(' '))}, // without the caller's data
-       {"database", Session.m_Database},
-       {"code", Answer.m_ErrorCode},
-       {"why", std::string(reasonName(Answer.m_Reason))},
-       {"detail", Answer.m_ErrorText},
-       {"took_ms",
-        fmt::format("{:.1f}", std::chrono::duration<double, std::milli>(Elapsed).count())},
-       {"config", std::to_string(Host.m_Config ? Host.m_Config->m_Version : 0)},
-       {"inputs", Answer.m_DecisionInputs},
-       {"transaction",
-        Transaction.m_IsBegun ? Transaction.m_Instance + " by " + Transaction.m_Dispatcher : ""}});
-}
-
-std::string formatAnswer(const CallerSession &Session, const CallerAnswer &Answer) {
-  std::string Output;
-  for (const std::string &Row : Answer.m_Rows)
-    Output += platform::formatRow(Row);
-  Output += Answer.m_ErrorCode.empty()
-                ? platform::formatComplete(Answer.m_Digest)
-                : platform::formatError(Answer.m_ErrorCode, Answer.m_ErrorText);
-  Output += platform::formatReady(Session.m_State.m_Transaction, Session.m_ShownPosition);
-  return Output;
-}
-
-// Reads the CONNECT message and answers it. Returns whether the session continues.
-Awaitable<bool> connectCaller(LineHost &Host, CallerSession &Session) {
-  auto Line = co_await readLine(Session.m_Transport, platform::MaxMessageBytes);
-  if (!Line)
-    co_return false;
-  auto Message = platform::parseCallerMessage(*Line);
-  auto *Connect = std::get_if<platform::ConnectMessage>(&Message);
-  if (!Connect) {
-    co_await writeText(Session.m_Transport,
-                       platform::formatError("MALFORMED", "CONNECT comes first"));
-    co_return false;
-  }
-  Session.m_Database = Connect->m_Database;
-  Session.m_Key = Connect->m_Key;
-  auto Authorization = checkPermission(Host, Session);
-  if (auto *Rejection = std::get_if<CallerAnswer>(&Authorization)) {
-    logLine(LogLevel::Info, "connect_refused",
-            {{"database", Session.m_Database},
-             {"code", Rejection->m_ErrorCode},
-             {"config", std::to_string(Host.m_Config ? Host.m_Config->m_Version : 0)}});
-    co_await writeText(Session.m_Transport,
-                       platform::formatError(Rejection->m_ErrorCode, Rejection->m_ErrorText));
-    co_return false;
-  }
-  co_return co_await writeText(Session.m_Transport,
-                               platform::formatReady(TransactionState::None, std::nullopt));
-}
-
-// Reads the next message. Returns nothing if the session is over. An open transaction fails once it
-// has been idle for the configured time.
-Awaitable<std::optional<std::string>> readMessage(LineHost &Host, CallerSession &Session) {
-  if (hasLine(Session.m_Transport))
-    co_return co_await readLine(Session.m_Transport, platform::MaxMessageBytes);
-  bool IsTransactionOpen = Session.m_State.m_Transaction == TransactionState::Open;
-  std::optional<ScopedDeadline> IdleDeadline;
-  if (IsTransactionOpen && Host.m_Config)
-    IdleDeadline.emplace(
-        Host.m_DeadlineQueue, bootNow() + Host.m_Config->m_TransactionIdleTimeout,
-        [&Host, &Session] {
-          logLine(LogLevel::Info, "transaction_idle", {{"database", Session.m_Database}});
-          abandonAtInstance(Host, Session.m_Transaction);
-          Session.m_State.m_Transaction = TransactionState::Failed;
-        });
-  else
-    IdleDeadline.emplace(Host.m_DeadlineQueue, bootNow() + SessionIdleTimeout,
-                         [&Session] { closeSocket(Session.m_Transport.m_Socket); });
-  co_return co_await readLine(Session.m_Transport, platform::MaxMessageBytes);
-}
-
-// Whether bytes have arrived that were not read yet.
-bool hasUnreadBytes(const CallerSession &Session) {
-  boost::system::error_code Error; // a failed socket has nothing to read
-  return Session.m_Transport.m_Socket.available(Error) > 0 && !Error;
-}
-
-bool isIdle(const CallerSession &Session) {
-  return Session.m_State.m_Transaction == TransactionState::None && !hasLine(Session.m_Transport) &&
-         !hasUnreadBytes(Session);
-}
-
-Awaitable<void> serveStatements(LineHost &Host, CallerSession &Session, bool &IsStatementRunning) {
-  while (!(Host.m_IsStopping && isIdle(Session))) {
-    auto Line = co_await readMessage(Host, Session);
-    if (!Line) {
-      // The read was cancelled because the host stops, and a request arrived just then.
-      if (Host.m_IsStopping && hasUnreadBytes(Session))
-        continue;
-      if (Session.m_Transport.m_IsTooLong)
-        co_await writeText(Session.m_Transport,
-                           platform::formatError("MALFORMED", "message too long"));
-      co_return;
-    }
-    auto Message = platform::parseCallerMessage(*Line);
-    if (std::holds_alternative<platform::ReleaseMessage>(Message))
-      co_return;
-    auto *Stmt = std::get_if<Statement>(&Message);
-    CallerAnswer Answer = refuse("MALFORMED", "not a message of a session", Reason::BadRequest);
-    TimePoint StartedAt = bootNow();
-    if (Stmt) {
-      IsStatementRunning = true;
-      CountGuard StatementGuard(Host.m_RunningStatementCount);
-      Answer = co_await runStatement(Host, Session, *Stmt);
-      reportAnswer(Host, Session, *Stmt, Answer, bootNow() - StartedAt);
-    }
-    bool IsWritten = co_await writeText(Session.m_Transport, formatAnswer(Session, Answer));
-    IsStatementRunning = false;
-    bool IsUnauthorized = Answer.m_Reason == Reason::BadKey || Answer.m_Reason == Reason::NoRoute ||
-                          Answer.m_Reason == Reason::KeyWithdrawn;
-    if (!IsWritten || IsUnauthorized)
-      co_return;
-  }
-}
-
-Awaitable<void> serveCaller(LineHost &Host, Tcp::socket Socket) {
-  configureSocket(Socket);
-  CallerSession Session(std::move(Socket));
-  CountGuard SessionGuard(Host.m_SessionCount);
-  bool IsStatementRunning = false;
-  // Ends the session if it is idle while the host stops; the caller then connects to another host.
-  // The read is cancelled and the socket not closed: a read that has a request already completes
-  // with it, and the request is answered.
-  std::optional<ScopedDeadline> NextCheck;
-  std::function<void()> EndIfStopping = [&] {
-    boost::system::error_code IgnoredError; // the socket may be closed already
-    if (Host.m_IsStopping && !IsStatementRunning && isIdle(Session))
-      Session.m_Transport.m_Socket.cancel(IgnoredError);
-    NextCheck.emplace(Host.m_DeadlineQueue, bootNow() + Millis(500), EndIfStopping);
-  };
-  EndIfStopping();
-  if (co_await connectCaller(Host, Session))
-    co_await serveStatements(Host, Session, IsStatementRunning);
-  abandonAtInstance(Host, Session.m_Transaction);
-  closeSocket(Session.m_Transport.m_Socket);
-}
-
-} // namespace
-
-Awaitable<void> acceptCallers(LineHost &Host, Tcp::acceptor &Acceptor) {
-  for (;;) {
-    auto [Error, Socket] = co_await Acceptor.async_accept(AsTuple);
-    if (Error) {
-      co_await sleepFor(Host.m_Io, Millis(50)); // most likely out of file descriptors
-      continue;
-    }
-    if (Host.m_SessionCount < MaxSessions)
-      spawnTask(Host, "serve_caller", serveCaller(Host, std::move(Socket)));
-    else
-      logLine(LogLevel::Warning, "session_refused", {{"sessions", std::to_string(MaxSessions)}});
-  }
-}
-
 } // namespace quetzalpaddle
