--- a/src/line_caller.cpp
+++ b/src/line_caller.cpp
@@ -24,7 +24,7 @@
   size_t &m_Count;
 };
 
-AnswerClass classifyAnswer(const CallerAnswer &Answer) {
+AnswerClass classifyAnswer(const SessionAnswer &Answer) {
   if (Answer.m_ErrorCode.empty())
     return AnswerClass::Done;
   bool IsOutcomeUnknown = Answer.m_ErrorCode == "INDOUBT" || Answer.m_ErrorCode == "TIMEOUT" ||
@@ -33,7 +33,7 @@
 }
 
 void reportAnswer(LineHost &Host, const CallerSession &Session, const Statement &Stmt,
-                  const CallerAnswer &Answer, Duration Elapsed) {
+                  const SessionAnswer &Answer, Duration Elapsed) {
   countAnswer(*Host.m_Metrics, Session.m_Database, "", classifyAnswer(Answer), Answer.m_Reason,
               Elapsed, false);
   if (Answer.m_ErrorCode.empty())
@@ -55,7 +55,7 @@
         Transaction.m_IsBegun ? Transaction.m_Instance + " by " + Transaction.m_Dispatcher : ""}});
 }
 
-std::string formatAnswer(const CallerSession &Session, const CallerAnswer &Answer) {
+std::string formatAnswer(const CallerSession &Session, const SessionAnswer &Answer) {
   std::string Output;
   for (const std::string &Row : Answer.m_Rows)
     Output += platform::formatRow(Row);
@@ -81,7 +81,7 @@
   Session.m_Database = Connect->m_Database;
   Session.m_Key = Connect->m_Key;
   auto Authorization = checkPermission(Host, Session);
-  if (auto *Rejection = std::get_if<CallerAnswer>(&Authorization)) {
+  if (auto *Rejection = std::get_if<SessionAnswer>(&Authorization)) {
     logLine(LogLevel::Info, "connect_refused",
             {{"database", Session.m_Database},
              {"code", Rejection->m_ErrorCode},
@@ -142,7 +142,7 @@
     if (std::holds_alternative<platform::ReleaseMessage>(Message))
       co_return;
     auto *Stmt = std::get_if<Statement>(&Message);
-    CallerAnswer Answer = refuse("MALFORMED", "not a message of a session", Reason::BadRequest);
+    SessionAnswer Answer = refuse("MALFORMED", "not a message of a session", Reason::BadRequest);
     TimePoint StartedAt = bootNow();
     if (Stmt) {
       IsStatementRunning = true;
--- a/src/line_session.cpp
+++ b/src/line_session.cpp
@@ -28,16 +28,16 @@
 
 } // namespace
 
-CallerAnswer refuse(std::string_view Code, std::string_view Text, Reason AnswerReason) {
-  CallerAnswer Answer;
+SessionAnswer refuse(std::string_view Code, std::string_view Text, Reason AnswerReason) {
+  SessionAnswer Answer;
   Answer.m_ErrorCode = Code;
   Answer.m_ErrorText = Text;
   Answer.m_Reason = AnswerReason;
   return Answer;
 }
 
-std::variant<Permission, CallerAnswer> checkPermission(const LineHost &Host,
-                                                       const CallerSession &Session) {
+std::variant<Permission, SessionAnswer> checkPermission(const LineHost &Host,
+                                                        const CallerSession &Session) {
   if (!canUseConfig(Host, bootNow()))
     return refuse("BUSY", "no configuration yet", Reason::Internal);
   auto Route = Host.m_Config->m_Routes.find(Session.m_Database);
@@ -176,8 +176,8 @@
            {"try", std::to_string(Attempt)}});
 }
 
-CallerAnswer makeCallerAnswer(RunReply &Reply) {
-  CallerAnswer Answer;
+SessionAnswer makeCallerAnswer(RunReply &Reply) {
+  SessionAnswer Answer;
   for (std::string &Row : *Reply.mutable_rows())
     Answer.m_Rows.push_back(std::move(Row));
   Answer.m_Digest = Reply.digest();
@@ -263,8 +263,8 @@
 }
 
 // Refuses a request over the customer's rate. Adds the state of the rate for logs.
-CallerAnswer refuseOverRate(const LineHost &Host, const std::string &Customer) {
-  CallerAnswer Answer = refuse("OVERLOAD", "over the rate", Reason::RateLimited);
+SessionAnswer refuseOverRate(const LineHost &Host, const std::string &Customer) {
+  SessionAnswer Answer = refuse("OVERLOAD", "over the rate", Reason::RateLimited);
   auto It = Host.m_Usage.m_Customers.find(Customer);
   if (It != Host.m_Usage.m_Customers.end())
     Answer.m_DecisionInputs =
@@ -274,7 +274,7 @@
   return Answer;
 }
 
-CallerAnswer makeFailureAnswer(const StatementRun &Run, const RunReply &Reply) {
+SessionAnswer makeFailureAnswer(const StatementRun &Run, const RunReply &Reply) {
   auto RefusalReason = static_cast<Reason>(Reply.refusal());
   bool IsSingle = !Run.m_Transaction;
   if (Reply.outcome() == RunReply::LOST) {
@@ -308,11 +308,11 @@
 
 namespace {
 
-Awaitable<CallerAnswer> runWithRetries(LineHost &Host, CallerSession &Session,
-                                       const StatementRun &Run) {
+Awaitable<SessionAnswer> runWithRetries(LineHost &Host, CallerSession &Session,
+                                        const StatementRun &Run) {
   TimePoint Deadline = bootNow() + Run.m_Route->m_Timeout;
   std::set<std::string> TriedInstances;
-  CallerAnswer LastFailure = refuse("BUSY", "no instance can serve this now", Reason::NoPrimary);
+  SessionAnswer LastFailure = refuse("BUSY", "no instance can serve this now", Reason::NoPrimary);
   for (int Attempt = 1; Attempt <= MaxAttempts && bootNow() < Deadline;) {
     auto ChosenTarget = chooseTarget(Host, Session, *Run.m_Route, Run.m_IsPrimaryOnly,
                                      Run.m_IsWrite, Run.m_StalenessBaseAt, TriedInstances);
@@ -372,8 +372,8 @@
   return Request;
 }
 
-Awaitable<CallerAnswer> runInTransaction(LineHost &Host, CallerSession &Session,
-                                         const Statement &Stmt) {
+Awaitable<SessionAnswer> runInTransaction(LineHost &Host, CallerSession &Session,
+                                          const Statement &Stmt) {
   SessionTransaction &Transaction = Session.m_Transaction;
   bool IsCommit = Stmt.m_Kind == StatementKind::Commit;
   std::string Dispatcher = Transaction.m_Dispatcher;
@@ -414,8 +414,8 @@
 
 // --- Statements ---
 
-CallerAnswer beginTransaction(LineHost &Host, CallerSession &Session, const Statement &Stmt,
-                              const Permission &CallerPermission) {
+SessionAnswer beginTransaction(LineHost &Host, CallerSession &Session, const Statement &Stmt,
+                               const Permission &CallerPermission) {
   if (!admitCustomerRequest(Host.m_Usage, CallerPermission.m_Customer, bootNow()))
     return refuseOverRate(Host, CallerPermission.m_Customer);
   Session.m_Transaction = {};
@@ -435,12 +435,12 @@
   return It != Host.m_WithdrawnKeys.end() && bootNow() - It->second > WithdrawnKeyGracePeriod;
 }
 
-Awaitable<CallerAnswer> runTransactionStatement(LineHost &Host, CallerSession &Session,
-                                                const Statement &Stmt) {
+Awaitable<SessionAnswer> runTransactionStatement(LineHost &Host, CallerSession &Session,
+                                                 const Statement &Stmt) {
   SessionTransaction &Transaction = Session.m_Transaction;
   bool EndsTransaction =
       Stmt.m_Kind == StatementKind::Commit || Stmt.m_Kind == StatementKind::Rollback;
-  CallerAnswer Answer;
+  SessionAnswer Answer;
   if (Stmt.m_Kind == StatementKind::Rollback) {
     abandonAtInstance(Host, Transaction);
   } else if (isKeyWithdrawn(Host, Session)) {
@@ -475,9 +475,9 @@
   co_return Answer;
 }
 
-Awaitable<CallerAnswer> runSingleStatement(LineHost &Host, CallerSession &Session,
-                                           const Statement &Stmt,
-                                           const Permission &CallerPermission) {
+Awaitable<SessionAnswer> runSingleStatement(LineHost &Host, CallerSession &Session,
+                                            const Statement &Stmt,
+                                            const Permission &CallerPermission) {
   if (!admitCustomerRequest(Host.m_Usage, CallerPermission.m_Customer, bootNow()))
     co_return refuseOverRate(Host, CallerPermission.m_Customer);
   StatementRun Run;
@@ -487,7 +487,7 @@
   Run.m_IsWrite = isWrite(Session.m_State, Stmt);
   Run.m_IsPrimaryOnly = needsPrimary(CallerPermission.m_Route, Run.m_IsWrite, false);
   Run.m_StalenessBaseAt = Run.m_StatementArrivedAt = bootNow();
-  CallerAnswer Answer = co_await runWithRetries(Host, Session, Run);
+  SessionAnswer Answer = co_await runWithRetries(Host, Session, Run);
   if (Answer.m_ErrorCode == "BUSY")
     refundCustomerRequest(Host.m_Usage, CallerPermission.m_Customer);
   co_return Answer;
@@ -495,11 +495,11 @@
 
 } // namespace
 
-Awaitable<CallerAnswer> runStatement(LineHost &Host, CallerSession &Session,
-                                     const Statement &Stmt) {
+Awaitable<SessionAnswer> runStatement(LineHost &Host, CallerSession &Session,
+                                      const Statement &Stmt) {
   bool WasOpen = Session.m_State.m_Transaction == TransactionState::Open;
   if (auto LocalResult = runLocally(Session.m_State, Stmt)) {
-    CallerAnswer Answer;
+    SessionAnswer Answer;
     Answer.m_ErrorCode = LocalResult->m_Error;
     Answer.m_ErrorText = LocalResult->m_Text;
     if (!LocalResult->m_Error.empty())
@@ -509,7 +509,7 @@
   if (WasOpen)
     co_return co_await runTransactionStatement(Host, Session, Stmt);
   auto Authorization = checkPermission(Host, Session);
-  if (auto *Rejection = std::get_if<CallerAnswer>(&Authorization))
+  if (auto *Rejection = std::get_if<SessionAnswer>(&Authorization))
     co_return *Rejection;
   const auto &CallerPermission = std::get<Permission>(Authorization);
   bool BeginsTransaction =
--- a/src/line_session.h
+++ b/src/line_session.h
@@ -9,7 +9,7 @@
 namespace quetzalpaddle {
 
 // The host's answer to a statement.
-struct CallerAnswer {
+struct SessionAnswer {
   std::vector<std::string> m_Rows;
   std::string m_Digest;
   std::string m_ErrorCode; // empty = success
@@ -52,16 +52,17 @@
 
 // --- line_session.cpp ---
 
-CallerAnswer refuse(std::string_view Code, std::string_view Text, Reason AnswerReason);
+SessionAnswer refuse(std::string_view Code, std::string_view Text, Reason AnswerReason);
 
 // Checks that the session's caller may use its database now.
-std::variant<Permission, CallerAnswer> checkPermission(const LineHost &Host,
-                                                       const CallerSession &Session);
+std::variant<Permission, SessionAnswer> checkPermission(const LineHost &Host,
+                                                        const CallerSession &Session);
 
 // Asks the dispatcher to roll back a transaction that is open at an instance, without waiting.
 void abandonAtInstance(LineHost &Host, SessionTransaction &Transaction);
 
 // Runs a statement of the session and returns the answer to the caller.
-Awaitable<CallerAnswer> runStatement(LineHost &Host, CallerSession &Session, const Statement &Stmt);
+Awaitable<SessionAnswer> runStatement(LineHost &Host, CallerSession &Session,
+                                      const Statement &Stmt);
 
 } // namespace quetzalpaddle
