Stop in phases: end transactions at half of the limit, answer the rest before the end

A caller that had sent its COMMIT did not know whether it took effect.

Cause: drain() stopped the event loop at a deadline whatever was in progress, and nothing refused work that could not be answered by then.

Change: src/stop_phase decides by the time since the signal. From half of the limit on, open transactions are rolled back, and each further statement of them, COMMIT included, is answered ABORTED without being sent; a begin is answered BUSY. Statements in progress, and single ones that arrive, go on until 0.2 s before the end; what is left then is given up at the dispatcher and on the links, so that the usual rules give its final answer: INDOUBT for a write or commit that was sent, ABORTED for a transaction whose commit was not, TIMEOUT for a read. Nothing is repeated after that, new requests get BUSY, sessions are closed, and the process ends once nothing is left. The phase is in the log (stop_phase) and in the state dump.

--- a/src/line_caller.cpp
+++ b/src/line_caller.cpp
@@ -12,6 +12,8 @@
 
 // A session without a statement for this long is closed.
 constexpr std::chrono::minutes SessionIdleTimeout{10};
+// Interval of the check whether the host stops.
+constexpr Millis StopCheckInterval{500};
 // Further sessions are refused. Each session uses about 10 KB and a file descriptor.
 constexpr size_t MaxSessions = 2000;
 
@@ -51,6 +53,7 @@
         fmt::format("{:.1f}", std::chrono::duration<double, std::milli>(Elapsed).count())},
        {"config", std::to_string(Host.m_Config ? Host.m_Config->m_Version : 0)},
        {"inputs", Answer.m_DecisionInputs},
+       {"stop", std::string(stopPhaseName(currentStopPhase(Host)))},
        {"transaction",
         Transaction.m_IsBegun ? Transaction.m_Instance + " by " + Transaction.m_Dispatcher : ""}});
 }
@@ -121,17 +124,34 @@
   return Session.m_Transport.m_Socket.available(Error) > 0 && !Error;
 }
 
-bool isIdle(const CallerSession &Session) {
-  return Session.m_State.m_Transaction == TransactionState::None && !hasLine(Session.m_Transport) &&
-         !hasUnreadBytes(Session);
+SessionActivity describeActivity(const CallerSession &Session, bool IsStatementRunning) {
+  SessionActivity Activity;
+  Activity.m_IsStatementRunning = IsStatementRunning;
+  Activity.m_HasRequest = hasLine(Session.m_Transport) || hasUnreadBytes(Session);
+  Activity.m_Transaction = Session.m_State.m_Transaction;
+  return Activity;
+}
+
+// Rolls back an open transaction once the host accepts no further statement of it. The caller
+// learns of it from the answer to its next statement.
+void rollBackIfStopping(LineHost &Host, CallerSession &Session) {
+  if (!Session.m_Transaction.m_IsOpen ||
+      acceptsStatement(currentStopPhase(Host), StatementRole::InTransaction))
+    return;
+  logLine(LogLevel::Info, "transaction_rolled_back",
+          {{"database", Session.m_Database},
+           {"instance", Session.m_Transaction.m_Instance},
+           {"why", "the host is stopping"}});
+  abandonAtInstance(Host, Session.m_Transaction);
 }
 
 Awaitable<void> serveStatements(LineHost &Host, CallerSession &Session, bool &IsStatementRunning) {
-  while (!(Host.m_IsStopping && isIdle(Session))) {
+  while (!canCloseSession(currentStopPhase(Host), describeActivity(Session, false))) {
+    rollBackIfStopping(Host, Session);
     auto Line = co_await readMessage(Host, Session);
     if (!Line) {
       // The read was cancelled because the host stops, and a request arrived just then.
-      if (Host.m_IsStopping && hasUnreadBytes(Session))
+      if (currentStopPhase(Host) >= StopPhase::ClosingIdle && hasUnreadBytes(Session))
         continue;
       if (Session.m_Transport.m_IsTooLong)
         co_await writeText(Session.m_Transport,
@@ -164,17 +184,20 @@
   CallerSession Session(std::move(Socket));
   CountGuard SessionGuard(Host.m_SessionCount);
   bool IsStatementRunning = false;
-  // Ends the session if it is idle while the host stops; the caller then connects to another host.
-  // The read is cancelled and the socket not closed: a read that has a request already completes
-  // with it, and the request is answered.
+  // Follows the phases of a planned stop. To end the session, the read is cancelled and the socket
+  // not closed: a read that has a request already completes with it, and the request is answered.
   std::optional<ScopedDeadline> NextCheck;
-  std::function<void()> EndIfStopping = [&] {
+  std::function<void()> FollowStop = [&] {
+    TimePoint Now = bootNow();
     boost::system::error_code IgnoredError; // the socket may be closed already
-    if (Host.m_IsStopping && !IsStatementRunning && isIdle(Session))
+    if (!IsStatementRunning)
+      rollBackIfStopping(Host, Session);
+    if (canCloseSession(currentStopPhase(Host), describeActivity(Session, IsStatementRunning)))
       Session.m_Transport.m_Socket.cancel(IgnoredError);
-    NextCheck.emplace(Host.m_DeadlineQueue, bootNow() + Millis(500), EndIfStopping);
+    NextCheck.emplace(Host.m_DeadlineQueue,
+                      limitByNextPhase(Host.m_Stop, Now, Now + StopCheckInterval), FollowStop);
   };
-  EndIfStopping();
+  FollowStop();
   if (co_await connectCaller(Host, Session))
     co_await serveStatements(Host, Session, IsStatementRunning);
   abandonAtInstance(Host, Session.m_Transaction);
--- a/src/line_dispatch.cpp
+++ b/src/line_dispatch.cpp
@@ -96,7 +96,8 @@
   auto Connection = std::make_shared<LinePoolConnection>(Tcp::socket(Host.m_Io));
   ++Dispatch.m_ConnectionCount;
   Connection->m_Customer = Customer;
-  ScopedDeadline ConnectDeadline(Host.m_DeadlineQueue, bootNow() + ConnectTimeout,
+  ScopedDeadline ConnectDeadline(Host.m_DeadlineQueue,
+                                 limitByFinalAnswers(Host.m_Stop, bootNow() + ConnectTimeout),
                                  [Connection] { closeSocket(Connection->m_Transport.m_Socket); });
   auto [Error] = co_await Connection->m_Transport.m_Socket.async_connect(*Endpoint, AsTuple);
   std::string FailureReason = Error ? Error.message() : "";
@@ -503,6 +504,29 @@
     endTransaction(Host, Key);
 }
 
+void endAllTransactions(LineHost &Host) {
+  std::vector<TransactionKey> Keys;
+  for (const auto &[Key, Transaction] : Host.m_Transactions)
+    Keys.push_back(Key);
+  for (const TransactionKey &Key : Keys)
+    endTransaction(Host, Key);
+}
+
+void giveUpStatements(LineHost &Host) {
+  for (auto &[Id, Dispatch] : Host.m_Dispatches) {
+    std::erase_if(Dispatch.m_Waiters, [](const auto &Entry) {
+      SlotWaiter &Waiter = *Entry.second;
+      if (Waiter.m_Wakeup.isWoken())
+        return false; // it was granted a slot or refused already
+      Waiter.m_RefusalReason = Reason::Draining;
+      Waiter.m_Wakeup.wake();
+      return true;
+    });
+    for (const auto &Connection : Dispatch.m_BusyConnections)
+      closeSocket(Connection->m_Transport.m_Socket);
+  }
+}
+
 // Marks the writes of a group as stalled if its primary has acknowledged none and some are overdue.
 void detectStalledWrites(LineHost &Host, const std::string &Instance, InstanceDispatch &Dispatch,
                          TimePoint Now) {
--- a/src/line_host.h
+++ b/src/line_host.h
@@ -18,6 +18,7 @@
 #include "log.h"
 #include "metrics.h"
 #include "statement.h"
+#include "stop_phase.h"
 #include "takeover.h"
 #include "usage.h"
 #include "write_gate.h"
@@ -258,8 +259,7 @@
   std::map<std::string, Takeover> m_Takeovers; // by group
 
   bool m_IsDraining = false;
-  TimePoint m_DrainingSince{};
-  bool m_IsStopping = false; // sessions are closed once they are idle
+  StopPlan m_Stop;
   size_t m_SessionCount = 0;
   size_t m_RunningStatementCount = 0;
 };
@@ -280,6 +280,14 @@
 // ones while draining), detects stalled writes and probes instances that have stopped answering.
 void tickDispatches(LineHost &Host, TimePoint Now);
 
+// Rolls back every open transaction at the instances that this host dispatches to; those with a
+// statement in progress after it.
+void endAllTransactions(LineHost &Host);
+
+// Gives up what is queued or in progress at the instances that this host dispatches to, so that it
+// gets its final answer.
+void giveUpStatements(LineHost &Host);
+
 // Closes idle connections to instances that other hosts now dispatch to.
 void retireDispatches(LineHost &Host, TimePoint Now);
 
@@ -304,6 +312,9 @@
 // Closes the links to hosts from which no message has arrived lately, in answer to a probe neither.
 void closeSilentLinks(LineHost &Host, TimePoint Now);
 
+// Gives up the calls to other hosts that wait for a reply.
+void giveUpCalls(LineHost &Host);
+
 // Asks a host for its configuration and its list of instances if they are newer.
 void requestConfig(LineHost &Host, const std::string &Peer);
 
@@ -361,6 +372,13 @@
 void spawnTask(LineHost &Host, std::string_view Name, Awaitable<void> Task,
                std::function<void()> OnFailure = {});
 
+// Returns the phase of the planned stop that the host is in.
+StopPhase currentStopPhase(const LineHost &Host);
+
+// Ends what a phase of a stop does not leave in progress. Called repeatedly: a statement may be
+// sent just as the phase begins.
+void carryOutStop(LineHost &Host, StopPhase Phase);
+
 // Runs an entry host until a stop signal. Returns the exit status.
 int runEntry(const std::string &SettingsFile);
 
--- a/src/line_peer.cpp
+++ b/src/line_peer.cpp
@@ -154,7 +154,8 @@
   auto Endpoint = parseEndpoint(Address);
   auto Socket = std::make_shared<Tcp::socket>(Host.m_Io);
   if (Endpoint) {
-    ScopedDeadline ConnectDeadline(Host.m_DeadlineQueue, bootNow() + ConnectTimeout,
+    ScopedDeadline ConnectDeadline(Host.m_DeadlineQueue,
+                                   limitByFinalAnswers(Host.m_Stop, bootNow() + ConnectTimeout),
                                    [Socket] { closeSocket(*Socket); });
     auto [Error] = co_await Socket->async_connect(*Endpoint, AsTuple);
     if (!Error && Socket->is_open()) {
@@ -193,13 +194,14 @@
 
 Awaitable<RunReply> runAtPeer(LineHost &Host, const std::string &Peer, RunRequest Request) {
   auto Connection = co_await getLink(Host, Peer);
-  if (!Connection)
+  bool IsAbandon = Request.mode() == RunRequest::ABANDON;
+  bool IsTooLate = currentStopPhase(Host) >= StopPhase::Answering && !IsAbandon;
+  if (!Connection || IsTooLate)
     co_return makeFailureReply(RunReply::NOT_SENT, Reason::HostUnavailable);
   PeerLink &Link = Host.m_Links[Peer];
   uint64_t CallId = Host.m_NextId++;
   Request.set_call(CallId);
   Millis CallTimeout = Millis(Request.wait_ms() + Request.run_ms()) + CallTimeoutMargin;
-  bool IsAbandon = Request.mode() == RunRequest::ABANDON;
   Envelope Message;
   *Message.mutable_run() = std::move(Request);
   std::string Bytes = serialize(Message);
@@ -264,6 +266,11 @@
   co_return Reply;
 }
 
+void giveUpCalls(LineHost &Host) {
+  for (const auto &[Peer, Link] : Host.m_Links)
+    failPendingCalls(Host, Peer);
+}
+
 void requestConfig(LineHost &Host, const std::string &Peer) {
   auto SendRequest = [](LineHost &LocalHost, std::string PeerId) -> Awaitable<void> {
     auto Connection = co_await getLink(LocalHost, PeerId);
--- a/src/line_serve.cpp
+++ b/src/line_serve.cpp
@@ -33,10 +33,6 @@
 constexpr Millis GaugeInterval{2500};
 // Interval of the check for idle connections to instances that other hosts dispatch to.
 constexpr Millis RetireInterval{500};
-// The load balancer removes a host after two failed health checks, one second apart.
-constexpr Millis DrainNoticePeriod{2200};
-// Draining ends this long before the stop limit, at which the process is killed.
-constexpr Millis ExitMargin{700};
 // Fraction of the rate tolerance that is used as headroom; the rest covers late reports.
 constexpr double HeadroomShare = 0.6;
 // After its start the host is not reported ready for this long, so that updates from other hosts
@@ -189,7 +185,11 @@
   auto Age = [&](TimePoint At) { return std::chrono::duration_cast<Millis>(Now - At).count(); };
   Json Dump = {{"host", Host.m_Settings.m_Host},
                {"draining", Host.m_IsDraining},
+               {"stop_phase", stopPhaseName(currentStopPhase(Host))},
+               {"stop_ms", Host.m_IsDraining ? Age(Host.m_Stop.m_BegunAt) : -1},
                {"sessions", Host.m_SessionCount},
+               {"statements", Host.m_RunningStatementCount},
+               {"transactions", Host.m_Transactions.size()},
                {"config_version", Host.m_Config ? Host.m_Config->m_Version : 0},
                {"config_age_ms", Host.m_Config ? Age(Host.m_ConfigAppliedAt) : -1},
                {"store_reachable", Host.m_Store.m_IsReachable}};
@@ -272,25 +272,38 @@
   }
 }
 
-// Announces that the host is draining, waits until the load balancer sends no new callers, closes
-// idle sessions, waits for the work in progress up to the stop limit, and stops the process.
+bool hasWorkInProgress(const LineHost &Host) {
+  return Host.m_SessionCount > 0 || !Host.m_Transactions.empty() ||
+         std::ranges::any_of(Host.m_Dispatches, [](const auto &Entry) {
+           return Entry.second.m_Queue.m_RunningCount > 0 || !Entry.second.m_Waiters.empty();
+         });
+}
+
+void logStop(const LineHost &Host, std::string_view Event, StopPhase Phase) {
+  logLine(LogLevel::Info, Event,
+          {{"phase", std::string(stopPhaseName(Phase))},
+           {"sessions", std::to_string(Host.m_SessionCount)},
+           {"statements", std::to_string(Host.m_RunningStatementCount)},
+           {"transactions", std::to_string(Host.m_Transactions.size())}});
+}
+
+// Follows the phases of a planned stop, and stops the process once nothing is in progress. Sessions
+// follow the phases themselves.
 Awaitable<void> drain(LineHost &Host) {
   Host.m_IsDraining = true;
-  Host.m_DrainingSince = bootNow();
-  TimePoint Deadline = Host.m_DrainingSince + Host.m_Settings.m_StopTimeout - ExitMargin;
-  logLine(LogLevel::Info, "stop_begun", {{"sessions", std::to_string(Host.m_SessionCount)}});
+  Host.m_Stop = planStop(bootNow(), Host.m_Settings.m_StopTimeout);
+  logStop(Host, "stop_begun", StopPhase::Announcing);
   sendGossip(Host, bootNow());
-  co_await sleepFor(Host.m_Io, DrainNoticePeriod);
-  Host.m_IsStopping = true;
-  auto HasWorkInProgress = [&] {
-    return Host.m_SessionCount > 0 || !Host.m_Transactions.empty() ||
-           std::ranges::any_of(Host.m_Dispatches, [](const auto &Entry) {
-             return Entry.second.m_Queue.m_RunningCount > 0;
-           });
-  };
-  while (bootNow() < Deadline && HasWorkInProgress())
+  co_await sleepFor(Host.m_Io, Host.m_Stop.m_ClosingIdleAt - bootNow());
+  StopPhase LastPhase = StopPhase::Announcing;
+  StopPhase Phase = currentStopPhase(Host);
+  for (; Phase < StopPhase::Over && hasWorkInProgress(Host); Phase = currentStopPhase(Host)) {
+    if (std::exchange(LastPhase, Phase) != Phase)
+      logStop(Host, "stop_phase", Phase);
+    carryOutStop(Host, Phase);
     co_await sleepFor(Host.m_Io, TickInterval);
-  logLine(LogLevel::Info, "stopped", {{"sessions", std::to_string(Host.m_SessionCount)}});
+  }
+  logStop(Host, "stopped", Phase);
   Host.m_Io.stop();
 }
 
@@ -368,6 +381,17 @@
 
 } // namespace
 
+void carryOutStop(LineHost &Host, StopPhase Phase) {
+  if (Phase >= StopPhase::EndingTransactions)
+    endAllTransactions(Host);
+  if (Phase < StopPhase::Answering)
+    return;
+  giveUpStatements(Host);
+  giveUpCalls(Host);
+}
+
+StopPhase currentStopPhase(const LineHost &Host) { return stopPhase(Host.m_Stop, bootNow()); }
+
 void spawnTask(LineHost &Host, std::string_view Name, Awaitable<void> Task,
                std::function<void()> OnFailure) {
   asio::co_spawn(
--- a/src/line_session.cpp
+++ b/src/line_session.cpp
@@ -52,6 +52,10 @@
 
 namespace {
 
+SessionAnswer refuseWhileStopping(StatementRole Role) {
+  return refuse(stopErrorCode(Role), "the host is stopping", Reason::Draining);
+}
+
 // --- Choice of an instance ---
 
 // The instance chosen for an attempt, and conditions that it has to meet.
@@ -312,12 +316,14 @@
                                         const StatementRun &Run) {
   TimePoint Deadline = bootNow() + Run.m_Route->m_Timeout;
   std::set<std::string> TriedInstances;
+  auto Role = Run.m_Transaction ? StatementRole::InTransaction : StatementRole::Single;
   SessionAnswer LastFailure = refuse("BUSY", "no instance can serve this now", Reason::NoPrimary);
   for (int Attempt = 1; Attempt <= MaxAttempts && bootNow() < Deadline;) {
     auto ChosenTarget = chooseTarget(Host, Session, *Run.m_Route, Run.m_IsPrimaryOnly,
                                      Run.m_IsWrite, Run.m_StalenessBaseAt, TriedInstances);
     if (!ChosenTarget) {
-      if (!expectsPrimary(Host.m_Groups[Run.m_Route->m_Group], bootNow()))
+      if (!expectsPrimary(Host.m_Groups[Run.m_Route->m_Group], bootNow()) ||
+          !acceptsStatement(currentStopPhase(Host), Role))
         break;
       TriedInstances.clear();
       co_await sleepFor(Host.m_Io, RetryDelay);
@@ -342,7 +348,8 @@
     }
     LastFailure = makeFailureAnswer(Run, Reply);
     LastFailure.m_DecisionInputs = describeAttempt(Host, *ChosenTarget, Dispatcher, Attempt);
-    if (!canRetry(Reply, Run.m_IsWrite && !Transaction))
+    if (!canRetry(Reply, Run.m_IsWrite && !Transaction) ||
+        !acceptsStatement(currentStopPhase(Host), Role))
       co_return LastFailure;
     if (Transaction)
       abandonAtInstance(Host, *Transaction);
@@ -446,6 +453,8 @@
   } else if (isKeyWithdrawn(Host, Session)) {
     abandonAtInstance(Host, Transaction);
     Answer = refuse("UNAUTH", "the key was withdrawn", Reason::KeyWithdrawn);
+  } else if (!acceptsStatement(currentStopPhase(Host), StatementRole::InTransaction)) {
+    Answer = refuseWhileStopping(StatementRole::InTransaction);
   } else {
     bool IsWrite = isWrite(Session.m_State, Stmt);
     Transaction.m_HasWritten = Transaction.m_HasWritten || IsWrite;
@@ -514,6 +523,9 @@
   const auto &CallerPermission = std::get<Permission>(Authorization);
   bool BeginsTransaction =
       Stmt.m_Kind == StatementKind::Begin || Stmt.m_Kind == StatementKind::BeginRead;
+  auto Role = BeginsTransaction ? StatementRole::OpensTransaction : StatementRole::Single;
+  if (!acceptsStatement(currentStopPhase(Host), Role))
+    co_return refuseWhileStopping(Role);
   if (BeginsTransaction)
     co_return beginTransaction(Host, Session, Stmt, CallerPermission);
   co_return co_await runSingleStatement(Host, Session, Stmt, CallerPermission);
