Refuse new sessions once a stopping host closes idle ones

A caller that connected to a host between 2.2 s after SIGTERM and its end got READY and was closed at once. If it had sent its first statement by then, it got a broken connection, which promises nothing: a single write could not be repeated.

CONNECT is answered ERROR BUSY in these phases. Seen with the test before the change: "READY I -" instead of "ERROR BUSY"; with it line_stop_test passes 6 of 6.

--- a/src/line_caller.cpp
+++ b/src/line_caller.cpp
@@ -84,6 +84,8 @@
   Session.m_Database = Connect->m_Database;
   Session.m_Key = Connect->m_Key;
   auto Authorization = checkPermission(Host, Session);
+  if (!acceptsSession(currentStopPhase(Host)))
+    Authorization = refuse("BUSY", "the host is stopping", Reason::Draining);
   if (auto *Rejection = std::get_if<SessionAnswer>(&Authorization)) {
     logLine(LogLevel::Info, "connect_refused",
             {{"database", Session.m_Database},
--- a/tests/line_stop_test.cpp
+++ b/tests/line_stop_test.cpp
@@ -267,3 +267,14 @@
   expectAnswer(Client.receive(2), "COMPLETE d READY I 1.1 COMPLETE d READY I 1.1");
   cr_assert(Client.isClosed());
 }
+
+// Guards against a caller that connects to a stopping host and is closed right after READY, when it
+// may have sent its first statement.
+Test(line_stop, aNewSessionIsRefusedWithAPromise) {
+  Fixture &Env = makeFixture();
+  Env.enter(StopPhase::ClosingIdle);
+  TestCaller Client(Env);
+  Client.post("CONNECT posts key\r\n");
+  cr_assert(Client.isClosed());
+  expectAnswer(Client.m_Received, "ERROR BUSY");
+}
