Go on reading a message whose first part has arrived when a host stops

The check that closes idle sessions of a stopping host cancelled the read although a part of a request had been read, and the rest was cut; a message may be 1 MiB. At the start of a session a CONNECT was cut even if it had arrived whole while the read was being cancelled: only the loop over statements looked for unread bytes.

A read that was cancelled goes on unless the session may be closed, for CONNECT as for statements, and a session with a part of a request is closed with the final answers only.

--- a/src/line_caller.cpp
+++ b/src/line_caller.cpp
@@ -69,39 +69,9 @@
   return Output;
 }
 
-// Reads the CONNECT message and answers it. Returns whether the session continues.
-Awaitable<bool> connectCaller(LineHost &Host, CallerSession &Session) {
-  auto Line = co_await readLine(Session.m_Transport, platform::MaxMessageBytes);
-  if (!Line)
-    co_return false;
-  auto Message = platform::parseCallerMessage(*Line);
-  auto *Connect = std::get_if<platform::ConnectMessage>(&Message);
-  if (!Connect) {
-    co_await writeText(Session.m_Transport,
-                       platform::formatError("MALFORMED", "CONNECT comes first"));
-    co_return false;
-  }
-  Session.m_Database = Connect->m_Database;
-  Session.m_Key = Connect->m_Key;
-  auto Authorization = checkPermission(Host, Session);
-  if (!acceptsSession(currentStopPhase(Host)))
-    Authorization = refuse("BUSY", "the host is stopping", Reason::Draining);
-  if (auto *Rejection = std::get_if<SessionAnswer>(&Authorization)) {
-    logLine(LogLevel::Info, "connect_refused",
-            {{"database", Session.m_Database},
-             {"code", Rejection->m_ErrorCode},
-             {"config", std::to_string(Host.m_Config ? Host.m_Config->m_Version : 0)}});
-    co_await writeText(Session.m_Transport,
-                       platform::formatError(Rejection->m_ErrorCode, Rejection->m_ErrorText));
-    co_return false;
-  }
-  co_return co_await writeText(Session.m_Transport,
-                               platform::formatReady(TransactionState::None, std::nullopt));
-}
-
-// Reads the next message. Returns nothing if the session is over. An open transaction fails once it
-// has been idle for the configured time.
-Awaitable<std::optional<std::string>> readMessage(LineHost &Host, CallerSession &Session) {
+// Reads the next message, unless it takes too long. An open transaction fails once it has been idle
+// for the configured time.
+Awaitable<std::optional<std::string>> readInTime(LineHost &Host, CallerSession &Session) {
   if (hasLine(Session.m_Transport))
     co_return co_await readLine(Session.m_Transport, platform::MaxMessageBytes);
   bool IsTransactionOpen = Session.m_State.m_Transaction == TransactionState::Open;
@@ -130,10 +100,15 @@
   SessionActivity Activity;
   Activity.m_IsStatementRunning = IsStatementRunning;
   Activity.m_HasRequest = hasLine(Session.m_Transport) || hasUnreadBytes(Session);
+  Activity.m_HasPartialRequest = hasPartialLine(Session.m_Transport);
   Activity.m_Transaction = Session.m_State.m_Transaction;
   return Activity;
 }
 
+bool canCloseIdleSession(const LineHost &Host, const CallerSession &Session) {
+  return canCloseSession(currentStopPhase(Host), describeActivity(Session, false));
+}
+
 // Rolls back an open transaction once the host accepts no further statement of it. The caller
 // learns of it from the answer to its next statement.
 void rollBackIfStopping(LineHost &Host, CallerSession &Session) {
@@ -147,14 +122,52 @@
   abandonAtInstance(Host, Session.m_Transaction);
 }
 
+// Reads the next message. Returns nothing if the session is over. A read that was cancelled because
+// the host stops goes on if a request, or a part of one, arrived just then.
+Awaitable<std::optional<std::string>> readMessage(LineHost &Host, CallerSession &Session) {
+  for (;;) {
+    auto Line = co_await readInTime(Host, Session);
+    if (Line || Session.m_Transport.m_HasEnded || Session.m_Transport.m_IsTooLong ||
+        canCloseIdleSession(Host, Session))
+      co_return Line;
+  }
+}
+
+// Reads the CONNECT message and answers it. Returns whether the session continues.
+Awaitable<bool> connectCaller(LineHost &Host, CallerSession &Session) {
+  auto Line = co_await readMessage(Host, Session);
+  if (!Line)
+    co_return false;
+  auto Message = platform::parseCallerMessage(*Line);
+  auto *Connect = std::get_if<platform::ConnectMessage>(&Message);
+  if (!Connect) {
+    co_await writeText(Session.m_Transport,
+                       platform::formatError("MALFORMED", "CONNECT comes first"));
+    co_return false;
+  }
+  Session.m_Database = Connect->m_Database;
+  Session.m_Key = Connect->m_Key;
+  auto Authorization = checkPermission(Host, Session);
+  if (!acceptsSession(currentStopPhase(Host)))
+    Authorization = refuse("BUSY", "the host is stopping", Reason::Draining);
+  if (auto *Rejection = std::get_if<SessionAnswer>(&Authorization)) {
+    logLine(LogLevel::Info, "connect_refused",
+            {{"database", Session.m_Database},
+             {"code", Rejection->m_ErrorCode},
+             {"config", std::to_string(Host.m_Config ? Host.m_Config->m_Version : 0)}});
+    co_await writeText(Session.m_Transport,
+                       platform::formatError(Rejection->m_ErrorCode, Rejection->m_ErrorText));
+    co_return false;
+  }
+  co_return co_await writeText(Session.m_Transport,
+                               platform::formatReady(TransactionState::None, std::nullopt));
+}
+
 Awaitable<void> serveStatements(LineHost &Host, CallerSession &Session, bool &IsStatementRunning) {
-  while (!canCloseSession(currentStopPhase(Host), describeActivity(Session, false))) {
+  while (!canCloseIdleSession(Host, Session)) {
     rollBackIfStopping(Host, Session);
     auto Line = co_await readMessage(Host, Session);
     if (!Line) {
-      // The read was cancelled because the host stops, and a request arrived just then.
-      if (currentStopPhase(Host) >= StopPhase::ClosingIdle && hasUnreadBytes(Session))
-        continue;
       if (Session.m_Transport.m_IsTooLong)
         co_await writeText(Session.m_Transport,
                            platform::formatError("MALFORMED", "message too long"));
--- a/src/line_transport.cpp
+++ b/src/line_transport.cpp
@@ -124,6 +124,10 @@
   return Connection.m_Input.find('\n', Connection.m_ConsumedBytes) != std::string::npos;
 }
 
+bool hasPartialLine(const LineConnection &Connection) {
+  return Connection.m_PendingBytes > 0 && !hasLine(Connection);
+}
+
 Awaitable<std::optional<std::string>> readLine(LineConnection &Connection, size_t MaxBytes) {
   for (size_t SearchStart = Connection.m_ConsumedBytes;;) {
     size_t End = Connection.m_Input.find('\n', SearchStart);
@@ -135,6 +139,7 @@
         Connection.m_Input.clear();
         Connection.m_ConsumedBytes = 0;
       }
+      Connection.m_PendingBytes = Connection.m_Input.size() - Connection.m_ConsumedBytes;
       if (!Line.empty() && Line.back() == '\r')
         Line.pop_back();
       co_return Line;
@@ -150,8 +155,11 @@
     auto [Error, BytesRead] = co_await Connection.m_Socket.async_read_some(
         asio::buffer(Connection.m_Input.data() + Size, ReadChunkBytes), AsTuple);
     Connection.m_Input.resize(Size + BytesRead);
-    if (Error)
+    Connection.m_PendingBytes = Size + BytesRead;
+    if (Error) {
+      Connection.m_HasEnded = Error != asio::error::operation_aborted;
       co_return std::nullopt;
+    }
   }
 }
 
--- a/src/line_transport.h
+++ b/src/line_transport.h
@@ -82,15 +82,19 @@
   Tcp::socket m_Socket;
   std::string m_Input;
   size_t m_ConsumedBytes = 0; // at the start of m_Input
+  size_t m_PendingBytes = 0;  // received and not yet returned as lines
   bool m_IsTooLong = false;
+  bool m_HasEnded = false; // closed or failed; a cancelled read does not set it
 };
 
-// Reads the next line, without its terminator. Returns nothing if the connection ended or the line
-// is longer than MaxBytes, which sets m_IsTooLong.
+// Reads the next line, without its terminator. Returns nothing if the connection ended, which sets
+// m_HasEnded, if the line is longer than MaxBytes, which sets m_IsTooLong, or if the read was
+// cancelled; another call then continues with the part that was received.
 Awaitable<std::optional<std::string>> readLine(LineConnection &Connection, size_t MaxBytes);
 
-// Returns whether a complete line has been received already.
+// Returns whether a complete line, or a part of one, has been received already.
 bool hasLine(const LineConnection &Connection);
+bool hasPartialLine(const LineConnection &Connection);
 
 // Writes all of Text. Returns false if the connection fails.
 Awaitable<bool> writeText(LineConnection &Connection, std::string Text);
--- a/tests/line_stop_test.cpp
+++ b/tests/line_stop_test.cpp
@@ -278,3 +278,40 @@
   cr_assert(Client.isClosed());
   expectAnswer(Client.m_Received, "ERROR BUSY");
 }
+
+// Guards against a request that is cut because the host has read only its first part when it closes
+// idle sessions.
+Test(line_stop, aRequestThatArrivesInPartsIsAnswered) {
+  Fixture &Env = makeFixture();
+  TestCaller Client(Env);
+  expectAnswer(Client.open(), "READY I");
+  Client.post("QUERY 1 READ");
+  Env.enter(StopPhase::ClosingIdle);
+  Env.m_Io.run_for(Millis(700)); // longer than between two checks of a session
+  expectAnswer(Client.send(" a\r\n"), "COMPLETE d READY I");
+  cr_assert(Client.isClosed());
+}
+
+// The same for the first message of a session.
+Test(line_stop, aConnectThatArrivesInPartsIsAnswered) {
+  Fixture &Env = makeFixture();
+  TestCaller Client(Env);
+  Client.post("CONNECT po");
+  Env.enter(StopPhase::ClosingIdle);
+  Env.m_Io.run_for(Millis(700));
+  Client.post("sts key\r\n");
+  cr_assert(Client.isClosed());
+  expectAnswer(Client.m_Received, "ERROR BUSY");
+}
+
+// Guards against a session that outlives its caller because of a part of a request.
+Test(line_stop, aPartOfARequestDoesNotKeepAClosedSession) {
+  Fixture &Env = makeFixture();
+  TestCaller Client(Env);
+  expectAnswer(Client.open(), "READY I");
+  Client.post("QUERY 1 READ");
+  Env.enter(StopPhase::ClosingIdle);
+  Client.m_Socket.close();
+  Env.m_Io.run_for(Millis(200));
+  cr_assert_eq(Env.m_Host.m_SessionCount, 0);
+}
