Refuse forwarded work that a stopping dispatcher can't answer, and flush its replies

A host that stops also dispatches for others. It ran statements of their transactions until its end and then broke the links: their hosts reported writes and commits as in doubt, and a reply that was queued on a link just as the last slot became free could be left unsent, because the event loop stopped with frames unwritten and forwarded statements uncounted.

The process ends after the replies to forwarded statements and all frames are written.

The race of the unsent reply was found by reading; no test forces it.

--- a/src/line_caller.cpp
+++ b/src/line_caller.cpp
@@ -17,15 +17,6 @@
 // Further sessions are refused. Each session uses about 10 KB and a file descriptor.
 constexpr size_t MaxSessions = 2000;
 
-// Counts one more until the end of its scope, also if an error ends it.
-struct CountGuard {
-  explicit CountGuard(size_t &Count) : m_Count(Count) { ++m_Count; }
-  ~CountGuard() { --m_Count; }
-  CountGuard(const CountGuard &) = delete;
-  CountGuard &operator=(const CountGuard &) = delete;
-  size_t &m_Count;
-};
-
 AnswerClass classifyAnswer(const SessionAnswer &Answer) {
   if (Answer.m_ErrorCode.empty())
     return AnswerClass::Done;
--- a/src/line_host.h
+++ b/src/line_host.h
@@ -251,8 +251,9 @@
 
   std::map<std::string, InstanceDispatch> m_Dispatches; // by instance
   std::map<TransactionKey, PinnedTransaction> m_Transactions;
-  std::set<uint64_t> m_InboundLinks; // ids of links accepted from other hosts
-  uint64_t m_NextId = 1;             // for requests, calls, transactions and links
+  std::map<uint64_t, std::shared_ptr<FrameConnection>> m_InboundLinks; // from other hosts, by id
+  size_t m_ForwardedStatementCount = 0;                                // that other hosts wait for
+  uint64_t m_NextId = 1; // for requests, calls, transactions and links
 
   std::shared_ptr<platform::StoreClient> m_StoreClient;
   StoreSyncState m_Store;
@@ -267,6 +268,15 @@
 LineInstance *findInstance(LineHost &Host, const std::string &Instance);
 LineGroup *findGroupOf(LineHost &Host, const std::string &Instance);
 
+// Counts one more until the end of its scope, also if an error ends it.
+struct CountGuard {
+  explicit CountGuard(size_t &Count) : m_Count(Count) { ++m_Count; }
+  ~CountGuard() { --m_Count; }
+  CountGuard(const CountGuard &) = delete;
+  CountGuard &operator=(const CountGuard &) = delete;
+  size_t &m_Count;
+};
+
 // --- line_dispatch.cpp ---
 
 // Runs a statement at an instance that this host dispatches to. LinkId: the link that the request
--- a/src/line_peer.cpp
+++ b/src/line_peer.cpp
@@ -54,11 +54,32 @@
   return Error || It == Host.m_Members.m_Hosts.end() ? std::string() : It->first;
 }
 
+// Refuses a statement that a stopping host accepts no more. Another host may dispatch it; a
+// transaction has ended with its connection here.
+std::optional<RunReply> refuseIfStopping(const LineHost &Host, const RunRequest &Request) {
+  auto Role = StatementRole::Single;
+  if (Request.mode() == RunRequest::OPEN)
+    Role = StatementRole::OpensTransaction;
+  if (Request.mode() == RunRequest::NEXT || Request.mode() == RunRequest::END)
+    Role = StatementRole::InTransaction;
+  if (Request.mode() == RunRequest::ABANDON || acceptsStatement(currentStopPhase(Host), Role))
+    return std::nullopt;
+  RunReply Reply = makeFailureReply(RunReply::NOT_SENT, Role == StatementRole::InTransaction
+                                                            ? Reason::Draining
+                                                            : Reason::HostUnavailable);
+  Reply.set_call(Request.call());
+  return Reply;
+}
+
 Awaitable<void> handleRunRequest(LineHost &Host, std::shared_ptr<FrameConnection> Connection,
-                                 uint64_t LinkId, std::string Peer, RunRequest Request) {
+                                 uint64_t LinkId, std::string Peer, RunRequest Request,
+                                 std::shared_ptr<CountGuard> Guard) {
   bool IsAbandon = Request.mode() == RunRequest::ABANDON;
   Envelope Message;
-  *Message.mutable_reply() = co_await runAtInstance(Host, std::move(Request), LinkId);
+  if (auto Refusal = refuseIfStopping(Host, Request))
+    *Message.mutable_reply() = std::move(*Refusal);
+  else
+    *Message.mutable_reply() = co_await runAtInstance(Host, std::move(Request), LinkId);
   if (IsAbandon)
     co_return;
   std::string Bytes = serialize(Message);
@@ -92,10 +113,12 @@
     closeFrameConnection(*Connection);
     return;
   }
-  if (Message.has_run())
+  if (Message.has_run()) {
+    auto Guard = std::make_shared<CountGuard>(Host.m_ForwardedStatementCount);
     spawnTask(Host, "run_request",
-              handleRunRequest(Host, Connection, LinkId, Peer, std::move(*Message.mutable_run())));
-  else if (Message.has_config_request())
+              handleRunRequest(Host, Connection, LinkId, Peer, std::move(*Message.mutable_run()),
+                               std::move(Guard)));
+  } else if (Message.has_config_request())
     handleConfigRequest(Host, Connection, Peer, Message.config_request());
 }
 
@@ -103,7 +126,7 @@
   configureSocket(Socket);
   auto Connection = std::make_shared<FrameConnection>(std::move(Socket));
   uint64_t LinkId = Host.m_NextId++;
-  Host.m_InboundLinks.insert(LinkId);
+  Host.m_InboundLinks[LinkId] = Connection;
   // A named variable, because g++ 12 destroys the captures of a lambda twice if it is an argument
   // of an awaited call.
   std::string Peer = findHostByIp(Host, Connection->m_Socket);
--- a/src/line_serve.cpp
+++ b/src/line_serve.cpp
@@ -189,6 +189,7 @@
                {"stop_ms", Host.m_IsDraining ? Age(Host.m_Stop.m_BegunAt) : -1},
                {"sessions", Host.m_SessionCount},
                {"statements", Host.m_RunningStatementCount},
+               {"forwarded", Host.m_ForwardedStatementCount},
                {"transactions", Host.m_Transactions.size()},
                {"config_version", Host.m_Config ? Host.m_Config->m_Version : 0},
                {"config_age_ms", Host.m_Config ? Age(Host.m_ConfigAppliedAt) : -1},
@@ -272,8 +273,18 @@
   }
 }
 
+bool hasUnsentFrames(const LineHost &Host) {
+  return std::ranges::any_of(Host.m_InboundLinks,
+                             [](const auto &Entry) { return Entry.second->m_IsSending; }) ||
+         std::ranges::any_of(Host.m_Links, [](const auto &Entry) {
+           const auto &Connection = Entry.second.m_FrameConnection;
+           return Connection && Connection->m_IsSending;
+         });
+}
+
 bool hasWorkInProgress(const LineHost &Host) {
   return Host.m_SessionCount > 0 || !Host.m_Transactions.empty() ||
+         Host.m_ForwardedStatementCount > 0 || hasUnsentFrames(Host) ||
          std::ranges::any_of(Host.m_Dispatches, [](const auto &Entry) {
            return Entry.second.m_Queue.m_RunningCount > 0 || !Entry.second.m_Waiters.empty();
          });
@@ -284,6 +295,7 @@
           {{"phase", std::string(stopPhaseName(Phase))},
            {"sessions", std::to_string(Host.m_SessionCount)},
            {"statements", std::to_string(Host.m_RunningStatementCount)},
+           {"forwarded", std::to_string(Host.m_ForwardedStatementCount)},
            {"transactions", std::to_string(Host.m_Transactions.size())}});
 }
 
--- a/src/line_session.cpp
+++ b/src/line_session.cpp
@@ -124,7 +124,7 @@
 // Returns whether a refusal was the dispatcher's own, which is no failure of the instance.
 bool isDispatcherRefusal(Reason RefusalReason) {
   return RefusalReason == Reason::QueueFull || RefusalReason == Reason::QueueTimeout ||
-         RefusalReason == Reason::NoMajority;
+         RefusalReason == Reason::NoMajority || RefusalReason == Reason::Draining;
 }
 
 // Updates the state of an instance and its group from a reply.
--- a/tests/line_peer_test.cpp
+++ b/tests/line_peer_test.cpp
@@ -63,3 +63,48 @@
   Env.m_Io.run_for(Settle);
   cr_assert_not(Env.isLinkOpen());
 }
+
+namespace {
+
+line::RunReply runAtPeer(Fixture &Env, line::RunRequest::Mode Mode) {
+  std::optional<line::RunReply> Reply;
+  auto Run = [](Fixture &Target, line::RunRequest Request,
+                std::optional<line::RunReply> &Result) -> Awaitable<void> {
+    std::string Dispatcher = "peer";
+    Result = co_await runAtDispatcher(Target.m_Host, std::move(Request), Dispatcher);
+  };
+  line::RunRequest Request;
+  Request.set_mode(Mode);
+  Request.set_instance("i1");
+  Request.set_transaction(1);
+  Request.set_run_ms(1000);
+  spawnTask(Env.m_Host, "run", Run(Env, Request, Reply));
+  for (int Round = 0; Round < 30 && !Reply; ++Round)
+    Env.m_Io.run_for(Settle);
+  cr_assert(Reply.has_value());
+  return *Reply;
+}
+
+} // namespace
+
+// Guards against statements of other hosts that a stopping dispatcher takes and cuts, and against a
+// refusal that counts as a failure of the instance.
+Test(line_peer, aStoppingDispatcherRefusesWhatItCannotAnswer) {
+  using line::RunRequest;
+  auto IsRefused = [](const line::RunReply &Reply, Reason Why) {
+    return Reply.outcome() == line::RunReply::NOT_SENT &&
+           Reply.refusal() == static_cast<uint32_t>(Why);
+  };
+  Fixture Env(true);
+  TimePoint Now = bootNow();
+  TimePoint Later = Now + std::chrono::hours(1);
+  Env.m_Peer.m_Stop = {Now, Now, Now, Later, Later};
+  cr_assert(IsRefused(runAtPeer(Env, RunRequest::NEXT), Reason::Draining));
+  cr_assert(IsRefused(runAtPeer(Env, RunRequest::END), Reason::Draining));
+  cr_assert(IsRefused(runAtPeer(Env, RunRequest::OPEN), Reason::HostUnavailable),
+            "the next host in order is tried");
+  cr_assert(IsRefused(runAtPeer(Env, RunRequest::SINGLE), Reason::InstanceUnavailable),
+            "accepted; the instance is not known there");
+  Env.m_Peer.m_Stop = {Now, Now, Now, Now, Later};
+  cr_assert(IsRefused(runAtPeer(Env, RunRequest::SINGLE), Reason::HostUnavailable));
+}
