--- a/src/line_dispatch.cpp
+++ b/src/line_dispatch.cpp
@@ -506,6 +506,7 @@
 
 void endAllTransactions(LineHost &Host) {
   std::vector<TransactionKey> Keys;
+  Keys.reserve(Host.m_Transactions.size());
   for (const auto &[Key, Transaction] : Host.m_Transactions)
     Keys.push_back(Key);
   for (const TransactionKey &Key : Keys)
