--- a/src/line_host.h
+++ b/src/line_host.h
@@ -5,7 +5,7 @@
 // [SECTION] Settings
 // [SECTION] Dispatcher of an instance (line_dispatch.cpp)
 // [SECTION] Other hosts (line_peer.cpp, line_gossip.cpp, line_updates.cpp)
-// [SECTION] Callers' sessions (line_session.cpp)
+// [SECTION] Callers' sessions (line_caller.cpp, line_session.cpp)
 // [SECTION] Platform's store (line_sync.cpp)
 // [SECTION] Promotions (line_takeover.cpp)
 // [SECTION] The host
@@ -18,6 +18,7 @@
 #include "log.h"
 #include "metrics.h"
 #include "statement.h"
+#include "stop_phase.h"
 #include "takeover.h"
 #include "usage.h"
 #include "write_gate.h"
@@ -253,16 +254,16 @@
 
   std::map<std::string, InstanceDispatch> m_Dispatches; // by instance
   std::map<TransactionKey, PinnedTransaction> m_Transactions;
-  std::set<uint64_t> m_InboundLinks; // ids of links accepted from other hosts
-  uint64_t m_NextId = 1;             // for requests, calls, transactions and links
+  std::map<uint64_t, std::shared_ptr<FrameConnection>> m_InboundLinks; // from other hosts, by id
+  size_t m_ForwardedStatementCount = 0;                                // that other hosts wait for
+  uint64_t m_NextId = 1; // for requests, calls, transactions and links
 
   std::shared_ptr<platform::StoreClient> m_StoreClient;
   StoreSyncState m_Store;
   std::map<std::string, Takeover> m_Takeovers; // by group
 
   bool m_IsDraining = false;
-  TimePoint m_DrainingSince{};
-  bool m_IsStopping = false; // sessions are closed once they are idle
+  StopPlan m_Stop;
   size_t m_SessionCount = 0;
   size_t m_RunningStatementCount = 0;
 };
@@ -270,6 +271,15 @@
 LineInstance *findInstance(LineHost &Host, const std::string &Instance);
 LineGroup *findGroupOf(LineHost &Host, const std::string &Instance);
 
+// Counts one more until the end of its scope, also if an error ends it.
+struct CountGuard {
+  explicit CountGuard(size_t &Count) : m_Count(Count) { ++m_Count; }
+  ~CountGuard() { --m_Count; }
+  CountGuard(const CountGuard &) = delete;
+  CountGuard &operator=(const CountGuard &) = delete;
+  size_t &m_Count;
+};
+
 // --- line_dispatch.cpp ---
 
 // Runs a statement at an instance that this host dispatches to. LinkId: the link that the request
@@ -283,6 +293,14 @@
 // ones while draining), detects stalled writes and probes instances that have stopped answering.
 void tickDispatches(LineHost &Host, TimePoint Now);
 
+// Rolls back every open transaction at the instances that this host dispatches to; those with a
+// statement in progress after it.
+void endAllTransactions(LineHost &Host);
+
+// Gives up what is queued or in progress at the instances that this host dispatches to, so that it
+// gets its final answer.
+void giveUpStatements(LineHost &Host);
+
 // Closes idle connections to instances that other hosts now dispatch to.
 void retireDispatches(LineHost &Host, TimePoint Now);
 
@@ -312,6 +330,9 @@
 // Closes the links to hosts from which no message has arrived lately, in answer to a probe neither.
 void closeSilentLinks(LineHost &Host, TimePoint Now);
 
+// Gives up the calls to other hosts that wait for a reply.
+void giveUpCalls(LineHost &Host);
+
 // Asks a host for its configuration and its list of instances if they are newer.
 void requestConfig(LineHost &Host, const std::string &Peer);
 
@@ -338,7 +359,7 @@
 // and list of instances, otherwise an empty string.
 std::string applyUpdate(LineHost &Host, std::string_view Bytes, TimePoint Now);
 
-// --- line_session.cpp ---
+// --- line_caller.cpp ---
 
 Awaitable<void> acceptCallers(LineHost &Host, Tcp::acceptor &Acceptor);
 
@@ -375,6 +396,13 @@
 void spawnTask(LineHost &Host, std::string_view Name, Awaitable<void> Task,
                std::function<void()> OnFailure = {});
 
+// Returns the phase of the planned stop that the host is in.
+StopPhase currentStopPhase(const LineHost &Host);
+
+// Ends what a phase of a stop does not leave in progress. Called repeatedly: a statement may be
+// sent just as the phase begins.
+void carryOutStop(LineHost &Host, StopPhase Phase);
+
 // Runs an entry host until a stop signal. Returns the exit status.
 int runEntry(const std::string &SettingsFile);
 
--- a/src/line_peer.cpp
+++ b/src/line_peer.cpp
@@ -54,11 +54,32 @@
   return Error || It == Host.m_Members.m_Hosts.end() ? std::string() : It->first;
 }
 
+// Refuses a statement that a stopping host accepts no more. Another host may dispatch it; a
+// transaction has ended with its connection here.
+std::optional<RunReply> refuseIfStopping(const LineHost &Host, const RunRequest &Request) {
+  auto Role = StatementRole::Single;
+  if (Request.mode() == RunRequest::OPEN)
+    Role = StatementRole::OpensTransaction;
+  if (Request.mode() == RunRequest::NEXT || Request.mode() == RunRequest::END)
+    Role = StatementRole::InTransaction;
+  if (Request.mode() == RunRequest::ABANDON || acceptsStatement(currentStopPhase(Host), Role))
+    return std::nullopt;
+  RunReply Reply = makeFailureReply(RunReply::NOT_SENT, Role == StatementRole::InTransaction
+                                                            ? Reason::Draining
+                                                            : Reason::HostUnavailable);
+  Reply.set_call(Request.call());
+  return Reply;
+}
+
 Awaitable<void> handleRunRequest(LineHost &Host, std::shared_ptr<FrameConnection> Connection,
-                                 uint64_t LinkId, std::string Peer, RunRequest Request) {
+                                 uint64_t LinkId, std::string Peer, RunRequest Request,
+                                 std::shared_ptr<CountGuard> Guard) {
   bool IsAbandon = Request.mode() == RunRequest::ABANDON;
   Envelope Message;
-  *Message.mutable_reply() = co_await runAtInstance(Host, std::move(Request), LinkId);
+  if (auto Refusal = refuseIfStopping(Host, Request))
+    *Message.mutable_reply() = std::move(*Refusal);
+  else
+    *Message.mutable_reply() = co_await runAtInstance(Host, std::move(Request), LinkId);
   if (IsAbandon)
     co_return;
   std::string Bytes = serialize(Message);
@@ -92,10 +113,12 @@
     closeFrameConnection(*Connection);
     return;
   }
-  if (Message.has_run())
+  if (Message.has_run()) {
+    auto Guard = std::make_shared<CountGuard>(Host.m_ForwardedStatementCount);
     spawnTask(Host, "run_request",
-              handleRunRequest(Host, Connection, LinkId, Peer, std::move(*Message.mutable_run())));
-  else if (Message.has_config_request())
+              handleRunRequest(Host, Connection, LinkId, Peer, std::move(*Message.mutable_run()),
+                               std::move(Guard)));
+  } else if (Message.has_config_request())
     handleConfigRequest(Host, Connection, Peer, Message.config_request());
 }
 
@@ -103,7 +126,7 @@
   configureSocket(Socket);
   auto Connection = std::make_shared<FrameConnection>(std::move(Socket));
   uint64_t LinkId = Host.m_NextId++;
-  Host.m_InboundLinks.insert(LinkId);
+  Host.m_InboundLinks[LinkId] = Connection;
   // A named variable, because g++ 12 destroys the captures of a lambda twice if it is an argument
   // of an awaited call.
   std::string Peer = findHostByIp(Host, Connection->m_Socket);
@@ -154,7 +177,8 @@
   auto Endpoint = parseEndpoint(Address);
   auto Socket = std::make_shared<Tcp::socket>(Host.m_Io);
   if (Endpoint) {
-    ScopedDeadline ConnectDeadline(Host.m_DeadlineQueue, bootNow() + ConnectTimeout,
+    ScopedDeadline ConnectDeadline(Host.m_DeadlineQueue,
+                                   limitByFinalAnswers(Host.m_Stop, bootNow() + ConnectTimeout),
                                    [Socket] { closeSocket(*Socket); });
     auto [Error] = co_await Socket->async_connect(*Endpoint, AsTuple);
     if (!Error && Socket->is_open()) {
@@ -193,13 +217,14 @@
 
 Awaitable<RunReply> runAtPeer(LineHost &Host, const std::string &Peer, RunRequest Request) {
   auto Connection = co_await getLink(Host, Peer);
-  if (!Connection)
+  bool IsAbandon = Request.mode() == RunRequest::ABANDON;
+  bool IsTooLate = currentStopPhase(Host) >= StopPhase::Answering && !IsAbandon;
+  if (!Connection || IsTooLate)
     co_return makeFailureReply(RunReply::NOT_SENT, Reason::HostUnavailable);
   PeerLink &Link = Host.m_Links[Peer];
   uint64_t CallId = Host.m_NextId++;
   Request.set_call(CallId);
   Millis CallTimeout = Millis(Request.wait_ms() + Request.run_ms()) + CallTimeoutMargin;
-  bool IsAbandon = Request.mode() == RunRequest::ABANDON;
   Envelope Message;
   *Message.mutable_run() = std::move(Request);
   std::string Bytes = serialize(Message);
@@ -264,6 +289,11 @@
   co_return Reply;
 }
 
+void giveUpCalls(LineHost &Host) {
+  for (const auto &[Peer, Link] : Host.m_Links)
+    failPendingCalls(Host, Peer);
+}
+
 void requestConfig(LineHost &Host, const std::string &Peer) {
   auto SendRequest = [](LineHost &LocalHost, std::string PeerId) -> Awaitable<void> {
     auto Connection = co_await getLink(LocalHost, PeerId);
