Don't take a replica for gone while it may rejoin

Cause: an entry that has expired counted as an instance that has ended as soon as a position was confirmed after it left the list, here 0.1 s later. An instance that is cut off can rejoin at any time.

A missing replica is now disregarded only if it was leaving when its entry went, or after 10 s off the list. Until then the group waits for it or for the primary.

--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -514,7 +514,8 @@
   SuspendResponses PreliminaryResponses;
   PreliminaryResponses.m_Replicas = Statuses;
   PreliminaryResponses.m_MissingReplicas = listUnansweredReplicas(Group, Primary, Statuses);
-  if (chooseFailoverCandidate(Group, PreliminaryResponses, OpenOrders).empty())
+  if (chooseFailoverCandidate(Group, PreliminaryResponses, OpenOrders, bootNow(), DefaultSettings)
+          .empty())
     co_return std::string();
   std::set<std::string> ReachableIds;
   for (const auto &[Id, Status] : Statuses)
@@ -526,7 +527,8 @@
                                                      platform::formatSuspend(State.m_SuspendTerm)),
                        State.m_SuspendTerm);
   Responses.m_MissingReplicas = listUnansweredReplicas(Group, Primary, Responses.m_Replicas);
-  std::string Candidate = chooseFailoverCandidate(Group, Responses, OpenOrders);
+  std::string Candidate =
+      chooseFailoverCandidate(Group, Responses, OpenOrders, bootNow(), DefaultSettings);
   logChoice(Group, State, Responses.m_Replicas, Responses.m_MissingReplicas, Candidate);
   co_return Candidate;
 }
--- a/src/takeover.cpp
+++ b/src/takeover.cpp
@@ -69,7 +69,8 @@
 }
 
 std::string chooseFailoverCandidate(const LineGroup &Group, const SuspendResponses &Responses,
-                                    const std::set<std::string> &OpenOrders) {
+                                    const std::set<std::string> &OpenOrders, TimePoint Now,
+                                    const TakeoverSettings &Settings) {
   auto Rank = [&](const auto &Entry) {
     auto It = Group.m_Instances.find(Entry.first);
     bool IsStaying =
@@ -89,9 +90,10 @@
         if (It == Group.m_Instances.end())
           return true;
         const LineInstance &Inst = It->second;
+        bool HasEnded = !Inst.m_IsListed && (Inst.m_IsLeaving || Now - Inst.m_UnlistedSince >=
+                                                                     Settings.m_RejoinTimeout);
         std::optional<Position> ConfirmedAfter =
-            Inst.m_IsListed ? std::nullopt
-                            : lowestPositionSince(Group.m_History, Inst.m_UnlistedSince);
+            HasEnded ? lowestPositionSince(Group.m_History, Inst.m_UnlistedSince) : std::nullopt;
         return ConfirmedAfter && *ConfirmedAfter <= LongestLog->second.m_ReceivedPosition;
       });
   return MissingAreObsolete ? LongestLog->first : std::string();
--- a/src/takeover.h
+++ b/src/takeover.h
@@ -41,6 +41,9 @@
   // A holder keeps the duty until its token has not changed for this long, so that its attempt can
   // end.
   Millis m_HolderGracePeriod{2500};
+  // A replica that has left the list without being told to leave may be cut off and come back. Only
+  // after this time it counts as gone.
+  Millis m_RejoinTimeout{10000};
   // A holder that cannot read the duty relies on that period, less this time for its statements.
   Millis m_StatementMargin{500};
 };
@@ -106,12 +109,14 @@
 };
 
 // Returns the replica that holds every acknowledged commit; empty if none is certain to.
-// A missing replica is ignored if it has left the platform's list, gives no answer at its address,
-// and the candidate holds a position confirmed after it left: the candidate then holds all earlier
-// commits, and later ones do not depend on an instance that has ended.
-// Of equally long logs, that of an open order is preferred: then its late execution is harmless.
+// A missing replica is ignored if it has ended, and the candidate holds a position confirmed after
+// it left the platform's list: the candidate then holds all earlier commits. It has ended if it was
+// leaving, or has been off the list for m_RejoinTimeout; before, it may only be cut off and rejoin
+// the primary at any time. Of equally long logs, that of an open order is preferred: then its late
+// execution is harmless.
 std::string chooseFailoverCandidate(const LineGroup &Group, const SuspendResponses &Responses,
-                                    const std::set<std::string> &OpenOrders);
+                                    const std::set<std::string> &OpenOrders, TimePoint Now,
+                                    const TakeoverSettings &Settings);
 
 // Returns the instance that reports to be primary in the newest term of all; empty if there is
 // none. A former primary may still report that role, in an older term.
