Promote only when the list is complete again after a cut from the store

Cause: only a process that had just started waited for entries to return. Any host now waits for that time after it reaches the store again, and the list that an attempt reads counts as the first answer if the watch has not got one.

A primary that is lost during an outage of the store is replaced that much later.

--- a/src/line_host.h
+++ b/src/line_host.h
@@ -368,11 +368,11 @@
 Awaitable<void> syncConfig(LineHost &Host);
 Awaitable<void> syncInstances(LineHost &Host);
 Awaitable<void> registerHost(LineHost &Host);
-// Returns whether this host knows every instance that runs. A process that starts after an outage
-// of the store may read a list that lacks some, and cannot tell.
+// Returns whether this host knows every instance that runs. After an outage of the store, and after
+// a cut from it, the list may lack some; a process that has just started cannot tell.
 bool hasCompleteInstances(const LineHost &Host, TimePoint Now);
 // Reads the newest list of instances from the store and applies what is new in it. Returns whether
-// the store answered.
+// this host then knows every instance that runs.
 Awaitable<bool> refreshInstances(LineHost &Host);
 // Returns whether this host watches the store. Two hubs of each data centre do; while no host that
 // this one hears of has had an answer lately, the other hubs and a few leaves try as well.
--- a/src/line_sync.cpp
+++ b/src/line_sync.cpp
@@ -424,8 +424,11 @@
 }
 
 bool hasCompleteInstances(const LineHost &Host, TimePoint Now) {
-  return Host.m_Store.m_InstancesCompleteAt != TimePoint{} &&
-         Now >= Host.m_Store.m_InstancesCompleteAt;
+  const StoreSyncState &Store = Host.m_Store;
+  bool IsRecentlyRegained =
+      Store.m_ReachableSince != TimePoint{} && Now - Store.m_ReachableSince < ExpiryGracePeriod;
+  return Store.m_InstancesCompleteAt != TimePoint{} && Now >= Store.m_InstancesCompleteAt &&
+         !IsRecentlyRegained;
 }
 
 Awaitable<bool> refreshInstances(LineHost &Host) {
@@ -436,6 +439,9 @@
     restartCompletion(Host.m_Store, bootNow());
     co_return false;
   }
+  // This may be the first answer after an outage; a watch waits longer before it tries again.
+  if (Host.m_Store.m_ReachableSince != TimePoint{})
+    recordStoreReachability(Host, true, "instances", StoreFault::NoAnswer);
   // A watch may have shown later changes. Missing entries are left to it, which knows how long the
   // store has been available.
   for (const StoredObjectVersion &Object : List->m_Objects) {
@@ -443,7 +449,7 @@
     if (!Known || !Known->m_IsListed || Object.m_Revision > Host.m_Store.m_InstancesRevision)
       applyInstance(Host, Object);
   }
-  co_return true;
+  co_return hasCompleteInstances(Host, bootNow());
 }
 
 bool shouldWatchStore(const LineHost &Host, TimePoint Now) {
