Leave no replica suspended and no order unwatched

- A former holder that became promoter again read the duty only when writes stalled.
With the candidate of an open order receiving, they do not.
It now acquires the duty as a host that never held it does.
- An attempt that ended while the duty could not be read forgot which replicas it had suspended.
They are kept, and resumed once the primary is confirmed.
- Finishing an order never recorded what the old primary answered, so that a position that the choice needs was never confirmed.

Test: takeover_test replicas_left_suspended_are_resumed (new behaviour; the field was always empty between attempts before).

--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -322,6 +322,7 @@
   if (HoldsDuty && State.m_Duty.m_OpenOrders.empty()) {
     std::set<std::string> Replicas = listInstances(Group, true);
     State.m_ResumedAt = bootNow();
+    State.m_SuspendedReplicas.clear();
     logTakeover(Group, State, "replicas_resumed", "duty acquired or writes stalled");
     co_await resumeReplicas(Host, GroupName, Replicas);
   }
@@ -494,14 +495,19 @@
 // no replica is known to hold every acknowledged commit, or if a primary answers.
 Awaitable<std::string> prepareFailover(LineHost &Host, LineGroup &Group, Takeover &State) {
   const std::set<std::string> OpenOrders = State.m_Duty.m_OpenOrders;
+  TimePoint AskedAt = bootNow();
   // The lost primary is not asked: the wait for its answer would delay every failover.
   auto Statuses = collectStatuses(
       co_await runControlStatements(Host, Group.m_Name, listInstances(Group, OpenOrders.empty()),
                                     std::string(platform::StatusText)));
   std::string ReportedPrimary = findReportedPrimary(Statuses);
+  if (!ReportedPrimary.empty()) {
+    noteConfirmedPrimary(Group, ReportedPrimary, AskedAt);
+    addConfirmedPosition(Group.m_History, {Statuses[ReportedPrimary].m_ReceivedPosition, AskedAt},
+                         bootNow());
+  }
   if (!ReportedPrimary.empty() && OpenOrders.empty()) {
     logTakeover(Group, State, "primary_found", "it answers", ReportedPrimary);
-    noteConfirmedPrimary(Group, ReportedPrimary, bootNow());
     co_return std::string();
   }
   // An order for the primary changes nothing but ends the other open orders.
@@ -568,7 +574,9 @@
     notePromotion(Group, Candidate, State.m_Duty.m_Token, Now);
   else if (!IsOrderOpen)
     Group.m_PendingGeneration = 0;
-  State.m_NextAttemptAt = Now + DefaultSettings.m_RetryDelay;
+  State.m_NextAttemptAt = Now + (Action == TakeoverAction::Finish && Candidate.empty()
+                                     ? DefaultSettings.m_ResumeInterval
+                                     : DefaultSettings.m_RetryDelay);
   if (IsLeftToHolder)
     State.m_NextAttemptAt = std::max(State.m_NextAttemptAt, findGraceEnd(State, DefaultSettings));
   else
@@ -577,10 +585,10 @@
   bool HoldsDutyStill = IsPromoted && co_await writeDuty(Host, Group, State, State.m_Duty);
   // Once another host holds the duty, its attempt may depend on the replicas that this one
   // suspended. A promotion that an earlier holder began has suspended others.
-  std::set<std::string> SuspendedIds = std::exchange(State.m_SuspendedReplicas, {});
-  if (!HoldsDutyStill && !IsOrderOpen && (IsPromoted || !SuspendedIds.empty()))
+  if (!HoldsDutyStill && !IsOrderOpen && (IsPromoted || !State.m_SuspendedReplicas.empty()))
     HoldsDutyStill = co_await holdsDuty(Host, GroupName, State);
   if (HoldsDutyStill && !IsOrderOpen) {
+    std::set<std::string> SuspendedIds = std::exchange(State.m_SuspendedReplicas, {});
     SuspendedIds.merge(listInstances(Group, true));
     while (State.m_IsRenewingSuspension) // it would suspend a replica again after this
       co_await sleepFor(Host.m_Io, PollInterval);
@@ -593,7 +601,7 @@
   logTakeover(Group, State, IsPromoted || IsFinished ? "takeover_done" : "takeover_failed",
               IsFinished          ? "the order took effect"
               : !HoldsDuty        ? "the duty is not held"
-              : !IsListed         ? "the instances could not be listed"
+              : !IsListed         ? "the list of instances may lack some"
               : !IsStillDue       ? "the primary's state has changed"
               : Candidate.empty() ? "no instance holds every commit for certain"
               : IsOrderOpen       ? "an order is open; the replicas stay suspended"
@@ -680,7 +688,9 @@
         spawnTask(Host, "resume_replicas", resumeAllReplicas(Host, Name), EndAttempt);
       } else if (Action == TakeoverAction::None) {
         State.m_UnreachableSince = {};
-        if (IsSettled && State.m_Duty.m_Token == 0) {
+        // A former holder may find an order that its successor has left open.
+        bool IsHolder = State.m_Duty.m_Token != 0 && State.m_Duty.m_Token >= State.m_SeenToken;
+        if (IsSettled && !IsHolder) {
           State.m_NextAttemptAt = Now + DutyAcquisitionDelay;
           State.m_IsRunning = true;
           spawnTask(Host, "resume_replicas", resumeAllReplicas(Host, Name), EndAttempt);
--- a/src/takeover.cpp
+++ b/src/takeover.cpp
@@ -21,7 +21,8 @@
       Group.m_WritesStalled && Now - Group.m_WritesStalledAt < Settings.m_SuspectTimeout;
   // Stalled writes do not start a failover: the cause may be suspended replicas, and those lack the
   // newest commits of the primary.
-  if (IsConfirmed && WritesStall && Now - State.m_ResumedAt >= Settings.m_ResumeInterval)
+  bool NeedsResume = WritesStall || !State.m_SuspendedReplicas.empty();
+  if (IsConfirmed && NeedsResume && Now - State.m_ResumedAt >= Settings.m_ResumeInterval)
     return TakeoverAction::Resume;
   if (IsConfirmed)
     return TakeoverAction::None;
--- a/src/takeover.h
+++ b/src/takeover.h
@@ -61,7 +61,7 @@
   TimePoint m_AnnouncedAt{};      // last announcement
   TimePoint m_TokenFirstSeenAt{}; // first time that m_SeenToken was seen
   TimePoint m_ProbedAt{};         // last probe of the primary
-  std::set<std::string> m_SuspendedReplicas; // ordered by this host to stop receiving
+  std::set<std::string> m_SuspendedReplicas; // by this host, and not resumed since
   uint64_t m_SuspendTerm = 0;                // of that order
   bool m_IsRenewingSuspension = false;
   std::string m_LastReason; // of the last step, for the state dump
@@ -70,7 +70,7 @@
 enum class TakeoverAction {
   None,
   Probe,      // the primary is suspect: ask it for its status
-  Resume,     // writes stall: an interrupted attempt may have left replicas suspended
+  Resume,     // an interrupted attempt has left replicas suspended, or may have: writes stall
   Switchover, // the primary is healthy but leaving: promote a replica in its place
   Failover,   // the primary is unreachable: promote a replica
   Finish,     // an earlier order may still be carried out: promote, whatever the primary's state
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -89,6 +89,18 @@
   cr_assert(Assess(9000) == TakeoverAction::Resume);
 }
 
+// Guards against replicas that stay suspended after an attempt that could not resume them: writes
+// do not stall if its candidate receives.
+Test(takeover, replicas_left_suspended_are_resumed) {
+  LineGroup Group = makeGroup();
+  Takeover State;
+  State.m_SuspendedReplicas = {"r1"};
+  addConfirmedPosition(Group.m_History, {{1, 1}, Start - Millis(100)}, Start);
+  cr_assert(assessPrimary(Group, State, Start, Settings) == TakeoverAction::Resume);
+  State.m_ResumedAt = Start;
+  cr_assert(assessPrimary(Group, State, Start, Settings) == TakeoverAction::None);
+}
+
 // Guards against promoting a replica that received nothing for a while before the primary crashed.
 Test(takeover, replica_with_the_longest_log_is_promoted) {
   LineGroup Group = makeGroup();
