Report a promotion in progress to leaves, and only by its promoter

In the model of updates, with 19 hosts, a promotion in progress never reached the leaves of other hubs than the promoter, which would pass on the old primary's acknowledgements. And 60 s after an attempt had failed, a hub that probed the primary reported it again, as it had never cleared it: for 4 s no write was sent, and acknowledgements of a healthy primary were withheld.

A host now reports only the generation of its own duty, and a hub forwards to its leaves what it has heard in the last 0.5 s.

Test: updates_test aPromotionInProgressIsKnownEverywhereAndEnds; it fails without the change.

--- a/src/line_updates.cpp
+++ b/src/line_updates.cpp
@@ -125,7 +125,9 @@
     News.set_primary(Group.m_Primary);
     News.set_generation(Group.m_Generation);
     auto It = Host.m_Takeovers.find(Name);
-    if (It != Host.m_Takeovers.end() && It->second.m_IsRunning && Group.m_PendingGeneration != 0)
+    // Only its promoter reports a promotion: others do not know when it has ended.
+    if (It != Host.m_Takeovers.end() && It->second.m_IsRunning && Group.m_PendingGeneration != 0 &&
+        Group.m_PendingGeneration == It->second.m_Duty.m_Token)
       News.set_switching(Group.m_PendingGeneration);
     uint64_t DutyToken = announcedToken(Host, Name);
     News.set_duty_token(DutyToken);
@@ -140,6 +142,10 @@
     auto Dispatch = Host.m_Dispatches.find(Group.m_Primary);
     bool IsDispatcher = Dispatch != Host.m_Dispatches.end() && isActive(Dispatch->second, Now);
     bool HasChanged = noteGroupState(Host.m_SentUpdates, News, Now);
+    // Leaves hear from their home hub only, which forwards what it has just heard.
+    if (Update.m_IsForLeaves && Group.m_PendingGeneration != 0 &&
+        Now - Group.m_PendingGenerationAt < ChangeRepeatTime)
+      News.set_switching(Group.m_PendingGeneration);
     bool IsInTurn =
         Update.m_IsFull && (Position++ + Host.m_SentUpdates.m_FullCount) % FullUpdatesPerGroup == 0;
     if (IsInTurn || Update.m_IsForLeaves || IsDispatcher || DutyToken != 0 || HasChanged)
--- a/src/positions.cpp
+++ b/src/positions.cpp
@@ -184,15 +184,11 @@
   return Best ? Best->m_Id : std::string();
 }
 
-namespace {
-
 bool isPromotionPending(const LineGroup &Group, TimePoint Now) {
   return Group.m_PendingGeneration != 0 &&
          Now - Group.m_PendingGenerationAt < PendingPromotionTimeout;
 }
 
-} // namespace
-
 bool mayAcknowledge(const LineGroup &Group, const std::string &Instance, Position Committed,
                     TimePoint Now) {
   auto NewestPosition = newestConfirmedPosition(Group.m_History);
--- a/src/positions.h
+++ b/src/positions.h
@@ -117,6 +117,9 @@
 // the last primary was confirmed more recently than a normal recovery takes.
 bool expectsPrimary(const LineGroup &Group, TimePoint Now);
 
+// Whether a promotion that replaces a lost primary is in progress, as far as known.
+bool isPromotionPending(const LineGroup &Group, TimePoint Now);
+
 // Whether an instance's acknowledgement of a commit may be passed on. While the instance is being
 // replaced, and after, its successor's log may lack the commit. Committed: the position that the
 // acknowledgement shows; in a newer term than the known primary's, it is that of the successor.
--- a/tests/updates_test.cpp
+++ b/tests/updates_test.cpp
@@ -451,3 +451,38 @@
   Promote(*std::prev(F.m_Hosts.end())->second, 8);
   cr_assert(runUntil(F, std::chrono::seconds(2), [&] { return CountInformed(8) == 40; }));
 }
+
+// Guards against hosts that pass on acknowledgements of a primary because they do not hear that it
+// is being replaced, and against a promotion that is reported by others after it has ended.
+Test(updates, aPromotionInProgressIsKnownEverywhereAndEnds, .timeout = 120) {
+  Fleet F;
+  startFleet(F, {});
+  runFleet(F, std::chrono::seconds(3));
+  std::vector<LineHost *> Hubs;
+  for (const auto &[Id, Host] : F.m_Hosts)
+    if (Host->m_Roles.m_IsHub)
+      Hubs.push_back(Host.get());
+  cr_assert(Hubs.size() >= 2 && Hubs.size() < F.m_Hosts.size());
+  std::string Name = groupName(0);
+  LineHost &Promoter = *Hubs[0];
+  Promoter.m_Takeovers[Name].m_Duty.m_Token = 5;
+  Promoter.m_Takeovers[Name].m_IsRunning = true;
+  auto CountInformed = [&] {
+    return std::ranges::count_if(F.m_Hosts, [&](const auto &Entry) {
+      return isPromotionPending(Entry.second->m_Groups.at(Name), F.m_Now);
+    });
+  };
+  auto IsKnownEverywhere = [&] {
+    Promoter.m_Groups[Name].m_PendingGeneration = 5;
+    Promoter.m_Groups[Name].m_PendingGenerationAt = F.m_Now;
+    return CountInformed() == static_cast<long>(F.m_Hosts.size());
+  };
+  cr_assert(runUntil(F, std::chrono::seconds(1), IsKnownEverywhere));
+  Promoter.m_Takeovers[Name].m_IsRunning = false;
+  Promoter.m_Groups[Name].m_PendingGeneration = 0;
+  runFleet(F, std::chrono::seconds(6));
+  cr_assert_eq(CountInformed(), 0);
+  Hubs[1]->m_Takeovers[Name].m_IsRunning = true; // a probe
+  runFleet(F, std::chrono::seconds(1));
+  cr_assert_eq(CountInformed(), 0);
+}
