Resume the replicas when an order has taken effect unwatched

A holder that found the order of its predecessor in effect left the replicas as the predecessor had suspended them, and an unexpected error in an attempt left writes refused for 4 s. From the review, by reading; the stand-ins lift every suspension at a promotion, so no test of ours shows the first.

--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -582,7 +582,9 @@
   else
     State.m_UnreachableSince = {};
   // The promotion is complete for the next holder, too.
-  bool HoldsDutyStill = IsPromoted && co_await writeDuty(Host, Group, State, State.m_Duty);
+  bool HoldsDutyStill = IsFinished;
+  if (IsPromoted)
+    HoldsDutyStill = co_await writeDuty(Host, Group, State, State.m_Duty);
   // Once another host holds the duty, its attempt may depend on the replicas that this one
   // suspended. A promotion that an earlier holder began has suspended others.
   if (!HoldsDutyStill && !IsOrderOpen && (IsPromoted || !State.m_SuspendedReplicas.empty()))
@@ -593,7 +595,7 @@
     while (State.m_IsRenewingSuspension) // it would suspend a replica again after this
       co_await sleepFor(Host.m_Io, PollInterval);
     logTakeover(Group, State, "replicas_resumed",
-                IsPromoted ? "promotion done" : "attempt without an order ended",
+                IsPromoted || IsFinished ? "promotion done" : "attempt without an order ended",
                 fmt::format("{}", fmt::join(SuspendedIds, " ")));
     co_await resumeReplicas(Host, GroupName, SuspendedIds);
   }
@@ -669,7 +671,11 @@
       Takeover &State = Host.m_Takeovers[Name];
       if (State.m_IsRunning || Now < State.m_NextAttemptAt)
         continue;
-      auto EndAttempt = [&State] { State.m_IsRunning = false; };
+      auto EndAttempt = [&State, &Group] {
+        State.m_IsRunning = false;
+        if (State.m_Duty.m_OpenOrders.empty())
+          Group.m_PendingGeneration = 0;
+      };
       TakeoverAction Action = assessPrimary(Group, State, Now, DefaultSettings);
       bool IsSettled = Now - EligibleSince > DutyAcquisitionDelay;
       if (Action == TakeoverAction::Probe &&
