--- a/testing/line_soak.py
+++ b/testing/line_soak.py
@@ -135,7 +135,7 @@
 
     async def inject_faults(self, deadline):
         """Starts faults at random intervals, some before the previous one has ended."""
-        pauses = (0.2, 1.5) if self.seed % 2 else (1.0, 4.0)
+        pauses = (0.5, 2.0) if self.seed % 2 else (3.0, 8.0)
         while time.monotonic() < deadline:
             await asyncio.sleep(self.rng.uniform(*pauses))
             self.start_fault(self.inject_fault(self.rng.randrange(11)))
@@ -196,26 +196,31 @@
 
     # Series of faults around a promotion
 
-    async def inject_series(self, deadline):
+    async def inject_series(self, group, deadline):
         await asyncio.sleep(0.5)
         while time.monotonic() < deadline - 3:
-            self.start_fault(self.run_series(self.rng.choice(list(self.system.groups.values()))))
-            await asyncio.sleep(self.rng.uniform(3, 7))
+            series = asyncio.ensure_future(self.run_series(group))
+            self.start_fault(series)
+            await asyncio.wait([series], timeout=self.rng.uniform(4, 10))
+            await asyncio.sleep(self.rng.uniform(0.5, 2))
 
     async def run_series(self, group):
         """Makes a promotion necessary, or lets the hosts believe so, beside other faults."""
         rng = self.rng
-        causes = [self.crash_primary, self.cut_primary, self.replace_primary, self.expire_entries]
-        others = [self.lose_orders, self.hold_deaf, self.hold_behind, self.hide_replica,
-                  self.restart_replica, self.replace_replica, self.kill_holder, self.freeze_holder,
-                  self.cut_holder_from_store, self.cut_holder_from_replica]
-        cause, chosen = rng.choice(causes), rng.sample(others, rng.randrange(1, 5))
+        causes = [self.crash_primary, self.crash_primary, self.cut_primary, self.cut_primary,
+                  self.replace_primary, self.expire_entries]
+        others = {self.lose_orders: 0.5, self.hold_behind: 0.5, self.hold_deaf: 0.3,
+                  self.hide_replica: 0.3, self.restart_replica: 0.3, self.replace_replica: 0.3,
+                  self.kill_holder: 0.3, self.freeze_holder: 0.2, self.cut_holder_from_store: 0.2,
+                  self.cut_holder_from_replica: 0.15}
+        cause = rng.choice(causes)
+        chosen = [fault for fault, share in others.items() if rng.random() < share]
         self.note(f"series in {group.name}: {' '.join(f.__name__ for f in [cause, *chosen])}")
-        at = rng.uniform(0.5, 3)
+        at = rng.uniform(0.5, 2)
         faults = [self.run_later(group, cause, at, False)]
         for fault in chosen:
             faults.append(self.run_later(group, fault, rng.uniform(0, at + 1),
-                                         rng.random() < 0.5))
+                                         fault != self.lose_orders and rng.random() < 0.6))
         await asyncio.gather(*faults)
 
     async def run_later(self, group, fault, pause, from_order):
@@ -229,8 +234,12 @@
         await fault(group)
 
     def pick_replica(self, group):
+        """Returns a replica, often the one whose promotion was ordered last."""
         replicas = [instance for instance in group.instances.values()
                     if instance.role == "replica" and instance.is_running]
+        ordered = [replica for replica in replicas if replica.id == group.last_ordered]
+        if ordered and self.rng.random() < 0.4:
+            return ordered[0]
         return self.rng.choice(replicas) if replicas else None
 
     def find_holder(self, group):
@@ -294,7 +303,7 @@
     async def lose_orders(self, group):
         self.system.late_share = self.rng.choice([0.5, 1.0])
         self.note(f"{self.system.late_share:.0%} of the promotion orders get no answer")
-        await asyncio.sleep(self.rng.uniform(2, 5))
+        await asyncio.sleep(self.rng.uniform(3, 6))
         self.system.late_share = 0.0
         self.note("promotion orders are answered")
 
@@ -464,7 +473,8 @@
         await self.start()
         deadline = time.monotonic() + self.args.seconds
         workers = [asyncio.ensure_future(self.run_worker(number)) for number in range(12)]
-        await asyncio.gather(self.inject_faults(deadline), self.inject_series(deadline))
+        await asyncio.gather(self.inject_faults(deadline), *(
+            self.inject_series(group, deadline) for group in self.system.groups.values()))
         while self.faults:
             await asyncio.wait(set(self.faults))
         await asyncio.sleep(1)
@@ -500,7 +510,7 @@
         offset = time.time() - time.monotonic()
         for host in getattr(self, "hosts", []):
             for line in pathlib.Path(host.log_file.name).read_text().splitlines():
-                match = re.match(r"time=(\S+)Z (.*)", line)
+                match = re.match(r"time=(\S+)Z level=\w+ host=(.*)", line)
                 if match and LOG_EVENTS.search(line):
                     moment = datetime.datetime.fromisoformat(match.group(1) + "+00:00")
                     lines.append((moment.timestamp() - offset, match.group(2)))
--- a/testing/line_standins.py
+++ b/testing/line_standins.py
@@ -170,7 +170,7 @@
         self.name, self.store, self.term = name, store, 1
         self.instances, self.fence_token = {}, 0
         self.acknowledged_writes, self.lost_writes, self.trace = {}, [], []
-        self.order_count = 0
+        self.order_count, self.last_ordered = 0, None
         self.former_logs = {}  # id -> set of (item, value), of instances that have left
 
     def note(self, text):
@@ -299,7 +299,9 @@
         if not store.is_running:
             self.next_check_in = None
         elif self.next_check_in is None:
-            self.next_check_in = now + random.uniform(0.05, 1.9)
+            # Within two seconds after an outage: some early, some late.
+            self.next_check_in = now + random.choice([random.uniform(0.05, 0.5),
+                                                      random.uniform(1.4, 1.95)])
         if self.is_running and self.reaches_store and store.is_running and \
                 now >= self.next_check_in:
             self.next_check_in = now + interval
@@ -632,7 +634,7 @@
         token = int(headers.get("quetzalpaddle-fence-token", 0))
         holder = headers.get("quetzalpaddle-duty-holder", "?")
         group = self.groups[body["service"]]
-        group.order_count += 1
+        group.order_count, group.last_ordered = group.order_count + 1, body["id"]
         if self.rng.random() >= self.late_share:
             return await group.promote(body["id"], token, holder)
         delay, called_at = self.rng.uniform(*self.late_seconds), time.monotonic()
