Draw the soak's series from themes around one promotion

The soak found losses only through a partial list of instances, since faults that have to meet within a second seldom did. A series now has a theme: lost orders beside a primary that is back, an incomplete list, an instance that joins while the primary is cut off from the promoting host and its replicas, or any mix.

--- a/testing/line_soak.py
+++ b/testing/line_soak.py
@@ -207,20 +207,30 @@
     async def run_series(self, group):
         """Makes a promotion necessary, or lets the hosts believe so, beside other faults."""
         rng = self.rng
-        causes = [self.crash_primary, self.crash_primary, self.cut_primary, self.cut_primary,
-                  self.replace_primary, self.expire_entries]
-        others = {self.lose_orders: 0.5, self.hold_behind: 0.5, self.hold_deaf: 0.3,
-                  self.hide_replica: 0.3, self.restart_replica: 0.3, self.replace_replica: 0.3,
-                  self.kill_holder: 0.3, self.freeze_holder: 0.2, self.cut_holder_from_store: 0.2,
-                  self.cut_holder_from_replica: 0.15}
+        # Causes; faults of nearly each such series; faults of some.
+        themes = [
+            ([self.crash_primary], [self.lose_orders, self.hold_behind],
+             [self.kill_holder, self.hold_deaf, self.freeze_holder]),
+            ([self.crash_primary, self.expire_entries], [self.hide_replica, self.hold_deaf],
+             [self.hold_behind, self.restart_replica]),
+            ([self.cut_primary], [self.replace_replica],
+             [self.restart_replica, self.freeze_holder, self.lose_orders]),
+            ([self.cut_primary, self.replace_primary, self.expire_entries], [],
+             [self.lose_orders, self.hold_behind, self.hold_deaf, self.hide_replica,
+              self.restart_replica, self.replace_replica, self.kill_holder, self.freeze_holder,
+              self.cut_holder_from_store, self.cut_holder_from_replica]),
+        ]
+        causes, usual, occasional = rng.choice(themes)
         cause = rng.choice(causes)
-        chosen = [fault for fault, share in others.items() if rng.random() < share]
+        chosen = [fault for fault in usual if rng.random() < 0.9] + \
+            [fault for fault in occasional if rng.random() < 0.3]
         self.note(f"series in {group.name}: {' '.join(f.__name__ for f in [cause, *chosen])}")
         at = rng.uniform(0.5, 2)
         faults = [self.run_later(group, cause, at, False)]
         for fault in chosen:
+            follows_order = fault not in (self.lose_orders, self.hide_replica)
             faults.append(self.run_later(group, fault, rng.uniform(0, at + 1),
-                                         fault != self.lose_orders and rng.random() < 0.6))
+                                         follows_order and rng.random() < 0.6))
         await asyncio.gather(*faults)
 
     async def run_later(self, group, fault, pause, from_order):
@@ -233,12 +243,12 @@
         await asyncio.sleep(pause)
         await fault(group)
 
-    def pick_replica(self, group):
+    def pick_replica(self, group, ordered_share=0.4):
         """Returns a replica, often the one whose promotion was ordered last."""
         replicas = [instance for instance in group.instances.values()
                     if instance.role == "replica" and instance.is_running]
         ordered = [replica for replica in replicas if replica.id == group.last_ordered]
-        if ordered and self.rng.random() < 0.4:
+        if ordered and self.rng.random() < ordered_share:
             return ordered[0]
         return self.rng.choice(replicas) if replicas else None
 
@@ -252,7 +262,8 @@
     async def crash_primary(self, group):
         primary = group.primary()
         if primary and primary.is_running:
-            await self.crash(primary, self.rng.uniform(1.5, 5))
+            await self.crash(primary, self.rng.choice([self.rng.uniform(1.3, 2.5),
+                                                       self.rng.uniform(2.5, 5)]))
 
     async def cut_hosts(self, name, proxy, hosts, pause):
         self.note(f"{' '.join(host.name for host in hosts)} cut off from {name} for {pause:.1f} s")
@@ -263,11 +274,20 @@
             proxy.mend(host)
 
     async def cut_primary(self, group):
-        """Cuts the primary off from the holder of the duty and some other hosts."""
-        primary, holder = group.primary(), self.find_holder(group)
+        """Cuts the primary off from the holder of the duty, from some other hosts, and often from
+        its replicas."""
+        primary, holder, rng = group.primary(), self.find_holder(group), self.rng
         if primary:
-            hosts = {holder, *self.rng.sample(self.hosts, self.rng.randrange(len(self.hosts) - 1))}
-            await self.cut_hosts(primary.id, primary.address[1], hosts, self.rng.uniform(2.5, 6))
+            hosts = {holder, *rng.sample(self.hosts, rng.choice([0, 0, 1, 2]))}
+            replicas = [instance for instance in group.instances.values()
+                        if instance.role == "replica" and not instance.deaf]
+            if rng.random() < 0.6:
+                group.note(f"{' '.join(replica.id for replica in replicas)} receive nothing")
+                for replica in replicas:
+                    replica.deaf = True
+            await self.cut_hosts(primary.id, primary.address[1], hosts, rng.uniform(2.5, 6))
+            for replica in replicas:
+                replica.deaf = False
 
     async def replace(self, group, instance):
         if instance and group.name not in self.replacing_groups:
@@ -307,8 +327,8 @@
         self.system.late_share = 0.0
         self.note("promotion orders are answered")
 
-    async def hold_deaf(self, group, seconds=None):
-        replica, seconds = self.pick_replica(group), seconds or self.rng.uniform(1, 4)
+    async def hold_deaf(self, group):
+        replica, seconds = self.pick_replica(group), self.rng.uniform(1, 4)
         if replica:
             group.note(f"{replica.id} receives nothing for {seconds:.1f} s, "
                        f"at {replica.received_position()}")
@@ -318,16 +338,17 @@
             group.note(f"{replica.id} receives again")
 
     async def hold_behind(self, group):
-        """Lets a replica receive only now and then, so that it is behind most of the time."""
-        replica, end = self.pick_replica(group), time.monotonic() + self.rng.uniform(4, 9)
-        if replica:
-            group.note(f"{replica.id} receives only now and then")
-            while time.monotonic() < end:
+        """Lets replicas receive only now and then, so that one is behind most of the time."""
+        end = time.monotonic() + self.rng.uniform(5, 9)
+        group.note("a replica is behind, mostly the one whose promotion was ordered last")
+        while time.monotonic() < end:
+            replica = self.pick_replica(group, 0.9)
+            if replica and not replica.deaf:
                 replica.deaf = True
                 await asyncio.sleep(0.6)
                 replica.deaf = False
-                await asyncio.sleep(0.1)
-            group.note(f"{replica.id} receives all the time")
+            await asyncio.sleep(0.1)
+        group.note("no replica is behind")
 
     async def hide_replica(self, group):
         """Cuts a replica off from the store, until its entry has expired; nothing else notices."""
