Let each fault of the soak draw from its own random numbers

A seed drew other faults each time, since the workers drew from the same numbers in an order that depends on the time. Now a seed gives the same series with the same delays. Seeds stand for other runs than before.

--- a/testing/line_soak.py
+++ b/testing/line_soak.py
@@ -19,7 +19,9 @@
 import argparse
 import asyncio
 import collections
+import contextvars
 import datetime
+import itertools
 import os
 import pathlib
 import random
@@ -43,6 +45,10 @@
                         r"started|stop|store_)")
 
 
+# Each fault and each worker draws from its own numbers, whatever the others do meanwhile.
+current_rng = contextvars.ContextVar("current_rng")
+
+
 def restart(host):
     """Restarts a host that has exited, unless an overlapping fault has already restarted it."""
     if host.process.poll() is not None:
@@ -51,15 +57,23 @@
 
 class Soak:
     def __init__(self, args, seed):
-        self.args, self.seed, self.rng = args, seed, random.Random(seed)
+        self.args, self.seed = args, seed
+        self.set_rng("start")
         self.system = System(args.base, with_proxies=True)
-        self.system.rng, self.system.late_seconds = random.Random(seed), (1.0, 6.0)
+        self.system.late_seconds = 1.0, 6.0
         for group in self.system.groups.values():
-            group.check_in_seconds = 0.5
+            group.check_in_seconds, group.rng = 0.5, random.Random(f"{seed} {group.name}")
         self.acknowledged, self.uncertain, self.violations, self.outcome_counts = {}, {}, [], {}
         self.faults, self.is_over, self.started_at = set(), False, time.monotonic()
         self.replacing_groups, self.trace = set(), []
 
+    @property
+    def rng(self):
+        return current_rng.get()
+
+    def set_rng(self, name):
+        current_rng.set(random.Random(f"{self.seed} {name}"))
+
     def note(self, text):
         self.trace.append((time.monotonic(), text))
 
@@ -77,6 +91,7 @@
 
     async def run_worker(self, number):
         """Runs one worker. Only it writes its item, so it knows which values the item may hold."""
+        self.set_rng(f"worker {number}")
         value, database = 0, list(DATABASES)[number % len(DATABASES)]
         while not self.is_over:
             caller = line_demo.Caller(self.rng.choice(self.hosts).port, database,
@@ -135,12 +150,16 @@
 
     async def inject_faults(self, deadline):
         """Starts faults at random intervals, some before the previous one has ended."""
+        self.set_rng("faults")
         pauses = (0.5, 2.0) if self.seed % 2 else (3.0, 8.0)
-        while time.monotonic() < deadline:
+        for number in itertools.count():
             await asyncio.sleep(self.rng.uniform(*pauses))
-            self.start_fault(self.inject_fault(self.rng.randrange(11)))
+            if time.monotonic() > deadline:
+                break
+            self.start_fault(self.inject_fault(self.rng.randrange(11), number))
 
-    async def inject_fault(self, kind):
+    async def inject_fault(self, kind, number):
+        self.set_rng(f"fault {number}")
         rng, host, proxies = self.rng, self.rng.choice(self.hosts), self.system.proxies
         group = rng.choice(list(self.system.groups.values()))
         instance = rng.choice(list(group.instances.values()))
@@ -197,15 +216,19 @@
     # Series of faults around a promotion
 
     async def inject_series(self, group, deadline):
+        self.set_rng(f"series in {group.name}")
         await asyncio.sleep(0.5)
-        while time.monotonic() < deadline - 3:
-            series = asyncio.ensure_future(self.run_series(group))
+        for number in itertools.count():
+            if time.monotonic() > deadline - 3:
+                break
+            series = asyncio.ensure_future(self.run_series(group, number))
             self.start_fault(series)
             await asyncio.wait([series], timeout=self.rng.uniform(4, 10))
             await asyncio.sleep(self.rng.uniform(0.5, 2))
 
-    async def run_series(self, group):
+    async def run_series(self, group, number):
         """Makes a promotion necessary, or lets the hosts believe so, beside other faults."""
+        self.set_rng(f"series {number} in {group.name}")
         rng = self.rng
         # Causes; faults of nearly each such series; faults of some.
         themes = [
@@ -226,15 +249,16 @@
             [fault for fault in occasional if rng.random() < 0.3]
         self.note(f"series in {group.name}: {' '.join(f.__name__ for f in [cause, *chosen])}")
         at = rng.uniform(0.5, 2)
-        faults = [self.run_later(group, cause, at, False)]
+        faults = [self.run_later(group, cause, at, False, number)]
         for fault in chosen:
             follows_order = fault not in (self.lose_orders, self.hide_replica)
             faults.append(self.run_later(group, fault, rng.uniform(0, at + 1),
-                                         follows_order and rng.random() < 0.6))
+                                         follows_order and rng.random() < 0.6, number))
         await asyncio.gather(*faults)
 
-    async def run_later(self, group, fault, pause, from_order):
+    async def run_later(self, group, fault, pause, from_order, number):
         """Starts a fault after a pause, or within a second from the next promotion order."""
+        self.set_rng(f"{fault.__name__} {number} in {group.name}")
         if from_order:
             count, end = group.order_count, time.monotonic() + 6
             while group.order_count == count and time.monotonic() < end:
@@ -461,6 +485,7 @@
 
     async def run_stop_caller(self, host, number, cuts, is_gone):
         """Runs transactions with pauses, or single statements, until the host is gone."""
+        self.set_rng(f"stop {number}")
         database = "looks" if number % 2 else "posts"
         while not is_gone.is_set():
             caller = line_demo.Caller(host.port, database, "key-a")
--- a/testing/line_standins.py
+++ b/testing/line_standins.py
@@ -170,7 +170,7 @@
         self.name, self.store, self.term = name, store, 1
         self.instances, self.fence_token = {}, 0
         self.acknowledged_writes, self.lost_writes, self.trace = {}, [], []
-        self.order_count, self.last_ordered = 0, None
+        self.order_count, self.last_ordered, self.rng = 0, None, random.Random(name)
         self.former_logs = {}  # id -> set of (item, value), of instances that have left
 
     def note(self, text):
@@ -295,13 +295,13 @@
 
     async def check_in(self, now):
         """Writes the entry when it is due, and removes it after three missed check-ins."""
-        store, interval = self.group.store, self.group.check_in_seconds
+        store, interval, rng = self.group.store, self.group.check_in_seconds, self.group.rng
         if not store.is_running:
             self.next_check_in = None
         elif self.next_check_in is None:
             # Within two seconds after an outage: some early, some late.
-            self.next_check_in = now + random.choice([random.uniform(0.05, 0.5),
-                                                      random.uniform(1.4, 1.95)])
+            self.next_check_in = now + rng.choice([rng.uniform(0.05, 0.5),
+                                                   rng.uniform(1.4, 1.95)])
         if self.is_running and self.reaches_store and store.is_running and \
                 now >= self.next_check_in:
             self.next_check_in = now + interval
@@ -541,7 +541,7 @@
         self.servers, self.version, self.with_proxies = [], 0, with_proxies
         self.proxies = {}  # id of an instance, or "store" -> proxy, if they are used
         self.instances_by_port, self.free_addresses = {}, []
-        self.late_share, self.rng = 0.0, random.Random(base)
+        self.late_share = 0.0  # of the promotion orders
 
     async def listen(self, handler, port):
         self.servers.append(await asyncio.start_server(handler, "127.0.0.1", port))
@@ -635,9 +635,9 @@
         holder = headers.get("quetzalpaddle-duty-holder", "?")
         group = self.groups[body["service"]]
         group.order_count, group.last_ordered = group.order_count + 1, body["id"]
-        if self.rng.random() >= self.late_share:
+        if group.rng.random() >= self.late_share:
             return await group.promote(body["id"], token, holder)
-        delay, called_at = self.rng.uniform(*self.late_seconds), time.monotonic()
+        delay, called_at = group.rng.uniform(*self.late_seconds), time.monotonic()
         group.note(f"promotion of {body['id']} ordered by {holder}, token {token}: no answer, "
                    f"carried out {delay:.1f} s later")
         asyncio.get_running_loop().call_later(delay, lambda: asyncio.ensure_future(
