--- a/testing/line_standins.py
+++ b/testing/line_standins.py
@@ -170,6 +170,7 @@
         self.name, self.store, self.term = name, store, 1
         self.instances, self.fence_token = {}, 0
         self.acknowledged_writes, self.lost_writes, self.trace = {}, [], []
+        self.order_count, self.last_ordered, self.rng = 0, None, random.Random(name)
         self.former_logs = {}  # id -> set of (item, value), of instances that have left
 
     def note(self, text):
@@ -249,6 +250,23 @@
             self.note(f"{item}={value} was acknowledged after the promotion of {primary.id}")
             self.add_lost_write((item, value), time.monotonic(), primary, None)
 
+    def describe_lost_writes(self, origin):
+        """Returns a line for each promotion that lost writes, with times since the origin."""
+        promotions, at = {}, lambda moment: f"{moment - origin:.3f}"
+        for lost in self.lost_writes:
+            order = lost["order"] or {}
+            key = lost["promoted"], order.get("token"), order.get("accepted_at")
+            promotions.setdefault(key, []).append(lost)
+        for (promoted, token, accepted_at), writes in promotions.items():
+            first, order = writes[0], writes[0]["order"]
+            how = f"token {token}, by {order['holder']}, called at {at(order['called_at'])}, " \
+                f"accepted at {at(accepted_at)}, took effect at {at(first['effect_at'])}" \
+                if order else "answered after the promotion"
+            yield f"LOST in {self.name}: {promoted} was promoted without {len(writes)} " \
+                f"acknowledged writes ({how}); the first: {'='.join(first['write'])}, " \
+                f"acknowledged at {at(first['acknowledged_at'])}, held by " \
+                f"{' '.join(first['held_by']) or 'none now'}"
+
     async def keep_entries(self):
         while True:
             await asyncio.sleep(0.05)
@@ -265,6 +283,7 @@
 
 class Instance:
     replication_seconds = 0.002  # one way
+    work_seconds = 0.004  # of a statement
 
     def __init__(self, group, instance_id, zone, port, slots=3, replay_lag=0.02):
         self.group, self.id, self.zone, self.port = group, instance_id, zone, port
@@ -293,11 +312,13 @@
 
     async def check_in(self, now):
         """Writes the entry when it is due, and removes it after three missed check-ins."""
-        store, interval = self.group.store, self.group.check_in_seconds
+        store, interval, rng = self.group.store, self.group.check_in_seconds, self.group.rng
         if not store.is_running:
             self.next_check_in = None
         elif self.next_check_in is None:
-            self.next_check_in = now + random.uniform(0.05, 1.9)
+            # Within two seconds after an outage: some early, some late.
+            self.next_check_in = now + rng.choice([rng.uniform(0.05, 0.5),
+                                                   rng.uniform(1.4, 1.95)])
         if self.is_running and self.reaches_store and store.is_running and \
                 now >= self.next_check_in:
             self.next_check_in = now + interval
@@ -319,8 +340,9 @@
     def received_position(self):
         return f"{self.log[-1][0]}.{self.log[-1][1]}" if self.log else f"{self.term}.0"
 
-    def kill(self):
-        self.group.note(f"{self.id}, {self.role}, crashes at {self.received_position()}")
+    def kill(self, event="crashes"):
+        if self.is_running:
+            self.group.note(f"{self.id}, {self.role}, {event} at {self.received_position()}")
         self.is_running = False
         for writer in set(self.connections):
             writer.transport.abort()
@@ -500,7 +522,7 @@
                 return False
             verb, rest = session["prepared"][rest[0]][0], rest[1:]
         async with self.use_slot():
-            await asyncio.sleep(0.004)
+            await asyncio.sleep(self.work_seconds)
             needs_lead = verb == "WRITE" or (verb == "COMMIT" and session["tx"]) or \
                 (verb == "READ" and session["tx"] is not None and not session["is_read_only"])
             if needs_lead and self.role != "primary":
@@ -527,6 +549,7 @@
     """A store, groups of three instances, and a configuration, all on loopback."""
 
     late_seconds = 2.0, 12.0  # delay of a promotion order that gets no answer
+    max_extra_drain_seconds = 10.0  # that a primary which is replaced waits for another one
 
     def __init__(self, base, zones=("north", "south"), groups=("g1", "g2"), with_proxies=False):
         self.store, self.ports = Store(), itertools.count(base)
@@ -535,7 +558,7 @@
         self.servers, self.version, self.with_proxies = [], 0, with_proxies
         self.proxies = {}  # id of an instance, or "store" -> proxy, if they are used
         self.instances_by_port, self.free_addresses = {}, []
-        self.late_share, self.rng = 0.0, random.Random(base)
+        self.late_share = 0.0  # of the promotion orders
 
     async def listen(self, handler, port):
         self.servers.append(await asyncio.start_server(handler, "127.0.0.1", port))
@@ -589,8 +612,7 @@
     async def remove_instance(self, instance):
         """Ends an instance for good. Its address may be used again."""
         group = instance.group
-        group.note(f"{instance.id}, {instance.role}, ends at {instance.received_position()}")
-        instance.kill()
+        instance.kill("ends")
         group.former_logs[instance.id] = {(entry[2], entry[3]) for entry in instance.log}
         group.instances.pop(instance.id)
         self.instances_by_port.pop(instance.address[0])
@@ -610,7 +632,12 @@
         instance.draining = True
         group.note(f"{instance.id}, {instance.role}, is draining")
         await instance.register()
+        while not (instance.is_running and instance.is_listed and self.store.is_running):
+            await asyncio.sleep(0.05)  # the store has not accepted the report
         await asyncio.sleep(drain_seconds)
+        end = time.monotonic() + self.max_extra_drain_seconds
+        while instance.role == "primary" and time.monotonic() < end:
+            await asyncio.sleep(0.05)
         await self.remove_instance(instance)
         if is_new_first:
             self.free_addresses.append(instance.address)
@@ -624,9 +651,10 @@
         token = int(headers.get("quetzalpaddle-fence-token", 0))
         holder = headers.get("quetzalpaddle-duty-holder", "?")
         group = self.groups[body["service"]]
-        if self.rng.random() >= self.late_share:
+        group.order_count, group.last_ordered = group.order_count + 1, body["id"]
+        if group.rng.random() >= self.late_share:
             return await group.promote(body["id"], token, holder)
-        delay, called_at = self.rng.uniform(*self.late_seconds), time.monotonic()
+        delay, called_at = group.rng.uniform(*self.late_seconds), time.monotonic()
         group.note(f"promotion of {body['id']} ordered by {holder}, token {token}: no answer, "
                    f"carried out {delay:.1f} s later")
         asyncio.get_running_loop().call_later(delay, lambda: asyncio.ensure_future(
