--- a/testing/line_fleet.py
+++ b/testing/line_fleet.py
@@ -67,6 +67,8 @@
             claim.bind(("127.0.0.1", base + PORTS_PER_TEST - 1))
             for offset in [*range(20), *range(100, 105), *range(200, 205)]:
                 others.append(socket.socket())
+                # As the hosts do: connections that have ended do not block a port.
+                others[-1].setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                 others[-1].bind(("127.0.0.1", base + offset))
             return base, claim
         except OSError:
