--- a/testing/line_fleet.py
+++ b/testing/line_fleet.py
@@ -93,6 +93,7 @@
     def __init__(self, program, host_count=3, with_proxies=False):
         self.program, self.host_count, self.with_proxies = program, host_count, with_proxies
         self.hosts, self.events, self.writers, self.is_writing = [], [], [], False
+        self.group = None
         self.acknowledged, self.refused = set(), set()  # (item, value)
         # Orders of promotions: (time, instance, holder, token, status; None: not answered).
         self.orders = []
@@ -131,7 +132,8 @@
     def trace(self, events):
         """Returns what happened and what the hosts logged of some events, in order of time."""
         offset = time.time() - time.monotonic()
-        notes = self.events + [(at + offset, text) for at, text in self.group.trace]
+        notes = self.events + [(at + offset, text)
+                               for at, text in (self.group.trace if self.group else ())]
         lines = [f"time={format_time(at)} {text}" for at, text in notes]
         for host in self.hosts:
             log = pathlib.Path(host.log_file.name).read_text(errors="replace")
