Close idle sessions of a stopping host over the interval of their checks

Since the phases, each session was checked at the begin of closing_idle, so all callers of a host were sent away within 20 ms, and the host ended 0.06 s into the phase. Before, the checks were spread over 0.5 s. A session is now checked early only where a phase ends its transaction or the session.

--- a/src/line_caller.cpp
+++ b/src/line_caller.cpp
@@ -201,7 +201,7 @@
     if (canCloseSession(currentStopPhase(Host), describeActivity(Session, IsStatementRunning)))
       Session.m_Transport.m_Socket.cancel(IgnoredError);
     NextCheck.emplace(Host.m_DeadlineQueue,
-                      limitByNextPhase(Host.m_Stop, Now, Now + StopCheckInterval), FollowStop);
+                      nextSessionCheck(Host.m_Stop, Now, Now + StopCheckInterval), FollowStop);
   };
   FollowStop();
   if (co_await connectCaller(Host, Session))
--- a/src/stop_phase.cpp
+++ b/src/stop_phase.cpp
@@ -47,9 +47,8 @@
   return Names.at(static_cast<size_t>(Phase));
 }
 
-TimePoint limitByNextPhase(const StopPlan &Plan, TimePoint Now, TimePoint At) {
-  for (TimePoint PhaseAt :
-       {Plan.m_ClosingIdleAt, Plan.m_EndingTransactionsAt, Plan.m_AnsweringAt, Plan.m_OverAt})
+TimePoint nextSessionCheck(const StopPlan &Plan, TimePoint Now, TimePoint At) {
+  for (TimePoint PhaseAt : {Plan.m_EndingTransactionsAt, Plan.m_AnsweringAt, Plan.m_OverAt})
     if (PhaseAt > Now)
       return std::min(At, PhaseAt);
   return At;
--- a/src/stop_phase.h
+++ b/src/stop_phase.h
@@ -37,8 +37,10 @@
 // Returns the name of a phase for the log and the state dump, for example "closing_idle".
 std::string_view stopPhaseName(StopPhase Phase);
 
-// Returns the earlier of At and the begin of the next phase.
-TimePoint limitByNextPhase(const StopPlan &Plan, TimePoint Now, TimePoint At);
+// Returns when a session that is next checked at At has to be checked: a phase that ends its
+// transaction or the session may begin before. The begin of ClosingIdle does not count, so that
+// sessions are closed over the interval of the checks and their callers do not reconnect at once.
+TimePoint nextSessionCheck(const StopPlan &Plan, TimePoint Now, TimePoint At);
 
 // Returns the earlier of At and the time of the final answers.
 TimePoint limitByFinalAnswers(const StopPlan &Plan, TimePoint At);
