Check a failover's ground again before its order

- A failover ends if another primary is known by now, or if the primary was confirmed while the replicas were suspended.
- The candidate is resumed after the conditional update of the duty, which fails for a holder that was frozen and has been replaced.
- A host that is not the promoter forgets when its probes failed.
- Only an instance that is not the known primary is taken for a successor by the term of its answer.

--- a/src/line_sync.cpp
+++ b/src/line_sync.cpp
@@ -446,6 +446,8 @@
   // store has been available.
   for (const StoredObjectVersion &Object : List->m_Objects) {
     const LineInstance *Known = findInstance(Host, Object.m_Name);
+    if (Object.m_IsDeleted)
+      continue;
     if (!Known || !Known->m_IsListed || Object.m_Revision > Host.m_Store.m_InstancesRevision)
       applyInstance(Host, Object);
   }
--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -6,7 +6,7 @@
 // attempt; without the store there is none. The duty also records an order before it is sent, by a
 // second conditional update: a host that takes the duty from then on knows that the order may still
 // be carried out, and one that took it before makes the update fail. While an order is open, no
-// replica is resumed.
+// replica but its candidate receives.
 #include "line_host.h"
 
 #include "platform/line_codec.h"
@@ -378,14 +378,14 @@
   PromotionDuty NewDuty = State.m_Duty;
   NewDuty.m_OpenOrders.insert(Candidate);
   bool HasEarlierOrder = !State.m_Duty.m_OpenOrders.empty();
+  // Fails if another host has taken the duty since.
+  if (!co_await writeDuty(Host, Group, State, std::move(NewDuty)))
+    co_return false;
   // From here on the candidate receives: if the primary still works somewhere, what it acknowledges
   // passes through the candidate, which leads with all that it holds when the order takes effect.
   std::set<std::string> CandidateIds;
   CandidateIds.insert(Candidate);
   co_await resumeReplicas(Host, Group.m_Name, CandidateIds);
-  // Fails if another host has taken the duty since.
-  if (!co_await writeDuty(Host, Group, State, std::move(NewDuty)))
-    co_return false;
   bool MayStillCome = HasEarlierOrder;
   bool IsAccepted = false;
   bool IsSuperseded = false;
@@ -510,11 +510,11 @@
     logTakeover(Group, State, "primary_found", "it answers", ReportedPrimary);
     co_return std::string();
   }
+  State.m_SuspendTerm = highestTerm(Statuses) + TermMargin;
   // An order for the primary changes nothing but ends the other open orders.
   if (OpenOrders.contains(ReportedPrimary))
     co_return ReportedPrimary;
   std::string Primary = ReportedPrimary.empty() ? Group.m_Primary : ReportedPrimary;
-  State.m_SuspendTerm = highestTerm(Statuses) + TermMargin;
   Statuses.erase(Primary);
   // Suspends nothing unless a candidate is likely: this host may be the one that is disconnected.
   SuspendResponses PreliminaryResponses;
@@ -539,10 +539,17 @@
   co_return Candidate;
 }
 
+// Returns whether the primary is still unreachable and the same.
+bool isFailoverDue(const LineGroup &Group, const Takeover &State, const std::string &Primary) {
+  return Group.m_Primary == Primary &&
+         assessPrimary(Group, State, bootNow(), DefaultSettings) == TakeoverAction::Failover;
+}
+
 Awaitable<void> runTakeover(LineHost &Host, std::string GroupName, TakeoverAction Action) {
   LineGroup &Group = Host.m_Groups[GroupName];
   Takeover &State = Host.m_Takeovers[GroupName];
   bool IsFailover = Action != TakeoverAction::Switchover;
+  std::string Primary = Group.m_Primary;
   logTakeover(Group, State, "takeover_started",
               Action == TakeoverAction::Finish ? "an order is open"
               : IsFailover                     ? "primary lost"
@@ -557,7 +564,8 @@
       HoldsDuty && Action == TakeoverAction::Finish && State.m_Duty.m_OpenOrders.empty();
   bool IsListed = HoldsDuty && !IsFinished && co_await refreshInstances(Host);
   // Other hosts may have heard from the primary since.
-  bool IsStillDue = IsListed && assessPrimary(Group, State, bootNow(), DefaultSettings) == Action;
+  bool IsStillDue =
+      IsListed && (Action != TakeoverAction::Failover || isFailoverDue(Group, State, Primary));
   if (IsStillDue) {
     if (IsFailover)
       announcePromotion(Host, Group, State);
@@ -565,6 +573,8 @@
       Candidate = co_await prepareFailover(Host, Group, State);
     else
       Candidate = co_await prepareSwitchover(Host, Group, State);
+    if (Action == TakeoverAction::Failover && !isFailoverDue(Group, State, Primary))
+      Candidate.clear();
     if (!Candidate.empty())
       IsPromoted = co_await promote(Host, Group, State, Candidate);
   }
@@ -585,6 +595,8 @@
   bool HoldsDutyStill = IsFinished;
   if (IsPromoted)
     HoldsDutyStill = co_await writeDuty(Host, Group, State, State.m_Duty);
+  while (State.m_IsRenewingSuspension) // it would suspend a replica again after its resumption
+    co_await sleepFor(Host.m_Io, PollInterval);
   // Once another host holds the duty, its attempt may depend on the replicas that this one
   // suspended. A promotion that an earlier holder began has suspended others.
   if (!HoldsDutyStill && !IsOrderOpen && (IsPromoted || !State.m_SuspendedReplicas.empty()))
@@ -592,8 +604,6 @@
   if (HoldsDutyStill && !IsOrderOpen) {
     std::set<std::string> SuspendedIds = std::exchange(State.m_SuspendedReplicas, {});
     SuspendedIds.merge(listInstances(Group, true));
-    while (State.m_IsRenewingSuspension) // it would suspend a replica again after this
-      co_await sleepFor(Host.m_Io, PollInterval);
     logTakeover(Group, State, "replicas_resumed",
                 IsPromoted || IsFinished ? "promotion done" : "attempt without an order ended",
                 fmt::format("{}", fmt::join(SuspendedIds, " ")));
@@ -665,6 +675,7 @@
         continue;
       if (!isPromoter(Host, Name, Now)) {
         PromoterSince.erase(Name);
+        Host.m_Takeovers[Name].m_UnreachableSince = {};
         continue;
       }
       TimePoint EligibleSince = PromoterSince.try_emplace(Name, Now).first->second;
--- a/src/positions.cpp
+++ b/src/positions.cpp
@@ -192,7 +192,8 @@
 bool mayAcknowledge(const LineGroup &Group, const std::string &Instance, Position Committed,
                     TimePoint Now) {
   auto NewestPosition = newestConfirmedPosition(Group.m_History);
-  if (NewestPosition && Committed.m_Term > NewestPosition->m_Position.m_Term)
+  if (Instance != Group.m_Primary && NewestPosition &&
+      Committed.m_Term > NewestPosition->m_Position.m_Term)
     return true;
   return Group.m_Primary == Instance && !isPromotionPending(Group, Now);
 }
