Finish an open order through the primary if it answers

A primary of the newest term that answers holds every acknowledged commit. An open order is then finished like a switchover: the candidate receives until it holds the primary's position, and is ordered. The instance of an open order goes before others, and while one may still come back, none is ordered.

--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -450,7 +450,8 @@
 Awaitable<std::string> prepareSwitchover(LineHost &Host, LineGroup &Group, Takeover &State) {
   auto Statuses = collectStatuses(co_await runControlStatements(
       Host, Group.m_Name, listInstances(Group, false), std::string(platform::StatusText)));
-  std::string Candidate = chooseSwitchoverCandidate(Group, Statuses);
+  std::string Candidate = chooseSwitchoverCandidate(Group, Statuses, State.m_Duty.m_OpenOrders,
+                                                    bootNow(), DefaultSettings);
   if (Candidate.empty() || !Statuses.contains(Group.m_Primary))
     co_return std::string();
   std::set<std::string> OtherReplicas = listInstances(Group, true);
@@ -479,6 +480,7 @@
   Position RequiredPosition = PrimaryStatuses.begin()->second.m_ReceivedPosition;
   std::set<std::string> CandidateIds;
   CandidateIds.insert(Candidate);
+  co_await resumeReplicas(Host, Group.m_Name, CandidateIds); // an earlier attempt may have left it
   for (int Poll = 0; Poll < MaxCatchUpPolls; ++Poll) {
     auto CandidateStatuses = collectStatuses(co_await runControlStatements(
         Host, Group.m_Name, CandidateIds, std::string(platform::StatusText)));
@@ -514,7 +516,10 @@
   // An order for the primary changes nothing but ends the other open orders.
   if (OpenOrders.contains(ReportedPrimary))
     co_return ReportedPrimary;
-  std::string Primary = ReportedPrimary.empty() ? Group.m_Primary : ReportedPrimary;
+  // The primary holds every commit, so that those of replicas which do not answer are not needed.
+  if (!ReportedPrimary.empty())
+    co_return co_await prepareSwitchover(Host, Group, State);
+  std::string Primary = Group.m_Primary;
   Statuses.erase(Primary);
   // Suspends nothing unless a candidate is likely: this host may be the one that is disconnected.
   SuspendResponses PreliminaryResponses;
--- a/src/takeover.cpp
+++ b/src/takeover.cpp
@@ -69,6 +69,11 @@
   return Now - State.m_TokenFirstSeenAt >= Settings.m_HolderGracePeriod;
 }
 
+bool hasEnded(const LineInstance &Instance, TimePoint Now, const TakeoverSettings &Settings) {
+  return !Instance.m_IsListed &&
+         (Instance.m_IsLeaving || Now - Instance.m_UnlistedSince >= Settings.m_RejoinTimeout);
+}
+
 std::string chooseFailoverCandidate(const LineGroup &Group, const SuspendResponses &Responses,
                                     const std::set<std::string> &OpenOrders, TimePoint Now,
                                     const TakeoverSettings &Settings) {
@@ -91,10 +96,10 @@
         if (It == Group.m_Instances.end())
           return true;
         const LineInstance &Inst = It->second;
-        bool HasEnded = !Inst.m_IsListed && (Inst.m_IsLeaving || Now - Inst.m_UnlistedSince >=
-                                                                     Settings.m_RejoinTimeout);
         std::optional<Position> ConfirmedAfter =
-            HasEnded ? lowestPositionSince(Group.m_History, Inst.m_UnlistedSince) : std::nullopt;
+            hasEnded(Inst, Now, Settings)
+                ? lowestPositionSince(Group.m_History, Inst.m_UnlistedSince)
+                : std::nullopt;
         return ConfirmedAfter && *ConfirmedAfter <= LongestLog->second.m_ReceivedPosition;
       });
   return MissingAreObsolete ? LongestLog->first : std::string();
@@ -108,7 +113,16 @@
 }
 
 std::string chooseSwitchoverCandidate(const LineGroup &Group,
-                                      const std::map<std::string, LineStatus> &Replicas) {
+                                      const std::map<std::string, LineStatus> &Replicas,
+                                      const std::set<std::string> &OpenOrders, TimePoint Now,
+                                      const TakeoverSettings &Settings) {
+  for (const std::string &Id : OpenOrders) {
+    auto It = Group.m_Instances.find(Id);
+    if (Replicas.contains(Id))
+      return Id;
+    if (It != Group.m_Instances.end() && !hasEnded(It->second, Now, Settings))
+      return {};
+  }
   const std::string *Best = nullptr;
   Position BestPosition;
   for (const auto &[Id, Status] : Replicas) {
--- a/src/takeover.h
+++ b/src/takeover.h
@@ -102,6 +102,10 @@
 bool mayTakeDuty(Takeover &State, const PromotionDuty &Stored, const std::string &Self,
                  uint64_t Incarnation, TimePoint Now, const TakeoverSettings &Settings);
 
+// Whether an instance that gives no answer has ended for good: it was leaving when its entry went,
+// or it has been off the list for m_RejoinTimeout.
+bool hasEnded(const LineInstance &Instance, TimePoint Now, const TakeoverSettings &Settings);
+
 // Answers of the replicas that were ordered to stop receiving.
 struct SuspendResponses {
   std::map<std::string, LineStatus> m_Replicas; // by id; these receive nothing more
@@ -122,8 +126,12 @@
 // none. A former primary may still report that role, in an older term.
 std::string findReportedPrimary(const std::map<std::string, LineStatus> &Statuses);
 
-// Returns the listed replica with the longest log that is not leaving; empty if there is none.
+// Returns the listed replica with the longest log that is not leaving; empty if there is none. The
+// instance of an open order goes before all others, since it may lead at any moment; as long as one
+// gives no answer and may come back, there is no candidate.
 std::string chooseSwitchoverCandidate(const LineGroup &Group,
-                                      const std::map<std::string, LineStatus> &Replicas);
+                                      const std::map<std::string, LineStatus> &Replicas,
+                                      const std::set<std::string> &OpenOrders, TimePoint Now,
+                                      const TakeoverSettings &Settings);
 
 } // namespace quetzalpaddle
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -101,6 +101,20 @@
   cr_assert(assessPrimary(Group, State, Start, Settings) == TakeoverAction::None);
 }
 
+// Guards against a group that stays without writes: the instance of an open order has ended, and no
+// replica can be shown to hold what only the primary, which answers, has.
+Test(takeover, open_order_of_an_instance_that_has_ended_is_finished_by_another) {
+  LineGroup Group = makeGroup();
+  std::map<std::string, LineStatus> Replicas = {{"r2", makeReceivedStatus(9)}};
+  cr_assert_eq(chooseSwitchoverCandidate(Group, Replicas, {"r1"}, Start, Settings), "",
+               "r1 may come back and lead");
+  Group.m_Instances["r1"].m_IsListed = false;
+  Group.m_Instances["r1"].m_IsLeaving = true;
+  cr_assert_eq(chooseSwitchoverCandidate(Group, Replicas, {"r1"}, Start, Settings), "r2");
+  Replicas["r1"] = makeReceivedStatus(5);
+  cr_assert_eq(chooseSwitchoverCandidate(Group, Replicas, {"r1"}, Start, Settings), "r1");
+}
+
 // Guards against promoting a replica that received nothing for a while before the primary crashed.
 Test(takeover, replica_with_the_longest_log_is_promoted) {
   LineGroup Group = makeGroup();
@@ -204,7 +218,7 @@
   SuspendResponses Responses;
   Responses.m_Replicas = {{"r1", makeReceivedStatus(45)}, {"r2", makeReceivedStatus(50)}};
   cr_assert_eq(chooseFailoverCandidate(Group, Responses, {}, Start, Settings), "r2");
-  cr_assert_eq(chooseSwitchoverCandidate(Group, Responses.m_Replicas), "r1",
+  cr_assert_eq(chooseSwitchoverCandidate(Group, Responses.m_Replicas, {}, Start, Settings), "r1",
                "a switchover waits for a listed one");
 }
 
@@ -228,9 +242,9 @@
 Test(takeover, switchover_candidate_is_not_leaving) {
   LineGroup Group = makeGroup();
   Group.m_Instances["r2"].m_IsLeaving = true;
-  cr_assert_eq(chooseSwitchoverCandidate(
-                   Group, {{"r1", makeReceivedStatus(5)}, {"r2", makeReceivedStatus(9)}}),
-               "r1");
+  std::map<std::string, LineStatus> Replicas = {{"r1", makeReceivedStatus(5)},
+                                                {"r2", makeReceivedStatus(9)}};
+  cr_assert_eq(chooseSwitchoverCandidate(Group, Replicas, {}, Start, Settings), "r1");
 }
 
 // When a data centre is cut off together with the holder of the duty, the other hosts have already
