--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -6,7 +6,7 @@
 // attempt; without the store there is none. The duty also records an order before it is sent, by a
 // second conditional update: a host that takes the duty from then on knows that the order may still
 // be carried out, and one that took it before makes the update fail. While an order is open, no
-// replica is resumed.
+// replica but its candidate receives.
 #include "line_host.h"
 
 #include "platform/line_codec.h"
@@ -378,14 +378,14 @@
   PromotionDuty NewDuty = State.m_Duty;
   NewDuty.m_OpenOrders.insert(Candidate);
   bool HasEarlierOrder = !State.m_Duty.m_OpenOrders.empty();
+  // Fails if another host has taken the duty since.
+  if (!co_await writeDuty(Host, Group, State, std::move(NewDuty)))
+    co_return false;
   // From here on the candidate receives: if the primary still works somewhere, what it acknowledges
   // passes through the candidate, which leads with all that it holds when the order takes effect.
   std::set<std::string> CandidateIds;
   CandidateIds.insert(Candidate);
   co_await resumeReplicas(Host, Group.m_Name, CandidateIds);
-  // Fails if another host has taken the duty since.
-  if (!co_await writeDuty(Host, Group, State, std::move(NewDuty)))
-    co_return false;
   bool MayStillCome = HasEarlierOrder;
   bool IsAccepted = false;
   bool IsSuperseded = false;
@@ -450,7 +450,8 @@
 Awaitable<std::string> prepareSwitchover(LineHost &Host, LineGroup &Group, Takeover &State) {
   auto Statuses = collectStatuses(co_await runControlStatements(
       Host, Group.m_Name, listInstances(Group, false), std::string(platform::StatusText)));
-  std::string Candidate = chooseSwitchoverCandidate(Group, Statuses);
+  std::string Candidate = chooseSwitchoverCandidate(Group, Statuses, State.m_Duty.m_OpenOrders,
+                                                    bootNow(), DefaultSettings);
   if (Candidate.empty() || !Statuses.contains(Group.m_Primary))
     co_return std::string();
   std::set<std::string> OtherReplicas = listInstances(Group, true);
@@ -479,6 +480,7 @@
   Position RequiredPosition = PrimaryStatuses.begin()->second.m_ReceivedPosition;
   std::set<std::string> CandidateIds;
   CandidateIds.insert(Candidate);
+  co_await resumeReplicas(Host, Group.m_Name, CandidateIds); // an earlier attempt may have left it
   for (int Poll = 0; Poll < MaxCatchUpPolls; ++Poll) {
     auto CandidateStatuses = collectStatuses(co_await runControlStatements(
         Host, Group.m_Name, CandidateIds, std::string(platform::StatusText)));
@@ -510,11 +512,14 @@
     logTakeover(Group, State, "primary_found", "it answers", ReportedPrimary);
     co_return std::string();
   }
+  State.m_SuspendTerm = highestTerm(Statuses) + TermMargin;
   // An order for the primary changes nothing but ends the other open orders.
   if (OpenOrders.contains(ReportedPrimary))
     co_return ReportedPrimary;
-  std::string Primary = ReportedPrimary.empty() ? Group.m_Primary : ReportedPrimary;
-  State.m_SuspendTerm = highestTerm(Statuses) + TermMargin;
+  // The primary holds every commit, so that those of replicas which do not answer are not needed.
+  if (!ReportedPrimary.empty())
+    co_return co_await prepareSwitchover(Host, Group, State);
+  std::string Primary = Group.m_Primary;
   Statuses.erase(Primary);
   // Suspends nothing unless a candidate is likely: this host may be the one that is disconnected.
   SuspendResponses PreliminaryResponses;
@@ -539,10 +544,17 @@
   co_return Candidate;
 }
 
+// Returns whether the primary is still unreachable and the same.
+bool isFailoverDue(const LineGroup &Group, const Takeover &State, const std::string &Primary) {
+  return Group.m_Primary == Primary &&
+         assessPrimary(Group, State, bootNow(), DefaultSettings) == TakeoverAction::Failover;
+}
+
 Awaitable<void> runTakeover(LineHost &Host, std::string GroupName, TakeoverAction Action) {
   LineGroup &Group = Host.m_Groups[GroupName];
   Takeover &State = Host.m_Takeovers[GroupName];
   bool IsFailover = Action != TakeoverAction::Switchover;
+  std::string Primary = Group.m_Primary;
   logTakeover(Group, State, "takeover_started",
               Action == TakeoverAction::Finish ? "an order is open"
               : IsFailover                     ? "primary lost"
@@ -557,7 +569,8 @@
       HoldsDuty && Action == TakeoverAction::Finish && State.m_Duty.m_OpenOrders.empty();
   bool IsListed = HoldsDuty && !IsFinished && co_await refreshInstances(Host);
   // Other hosts may have heard from the primary since.
-  bool IsStillDue = IsListed && assessPrimary(Group, State, bootNow(), DefaultSettings) == Action;
+  bool IsStillDue =
+      IsListed && (Action != TakeoverAction::Failover || isFailoverDue(Group, State, Primary));
   if (IsStillDue) {
     if (IsFailover)
       announcePromotion(Host, Group, State);
@@ -565,6 +578,8 @@
       Candidate = co_await prepareFailover(Host, Group, State);
     else
       Candidate = co_await prepareSwitchover(Host, Group, State);
+    if (Action == TakeoverAction::Failover && !isFailoverDue(Group, State, Primary))
+      Candidate.clear();
     if (!Candidate.empty())
       IsPromoted = co_await promote(Host, Group, State, Candidate);
   }
@@ -585,6 +600,8 @@
   bool HoldsDutyStill = IsFinished;
   if (IsPromoted)
     HoldsDutyStill = co_await writeDuty(Host, Group, State, State.m_Duty);
+  while (State.m_IsRenewingSuspension) // it would suspend a replica again after its resumption
+    co_await sleepFor(Host.m_Io, PollInterval);
   // Once another host holds the duty, its attempt may depend on the replicas that this one
   // suspended. A promotion that an earlier holder began has suspended others.
   if (!HoldsDutyStill && !IsOrderOpen && (IsPromoted || !State.m_SuspendedReplicas.empty()))
@@ -592,8 +609,6 @@
   if (HoldsDutyStill && !IsOrderOpen) {
     std::set<std::string> SuspendedIds = std::exchange(State.m_SuspendedReplicas, {});
     SuspendedIds.merge(listInstances(Group, true));
-    while (State.m_IsRenewingSuspension) // it would suspend a replica again after this
-      co_await sleepFor(Host.m_Io, PollInterval);
     logTakeover(Group, State, "replicas_resumed",
                 IsPromoted || IsFinished ? "promotion done" : "attempt without an order ended",
                 fmt::format("{}", fmt::join(SuspendedIds, " ")));
@@ -665,6 +680,7 @@
         continue;
       if (!isPromoter(Host, Name, Now)) {
         PromoterSince.erase(Name);
+        Host.m_Takeovers[Name].m_UnreachableSince = {};
         continue;
       }
       TimePoint EligibleSince = PromoterSince.try_emplace(Name, Now).first->second;
