Resume the replicas without waiting for silent ones

Only a suspension that is on its way has to end before the replicas are resumed. The check itself looks, once it has its answers, whether the attempt has ended.

--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -350,6 +350,7 @@
   Takeover &State = Host.m_Takeovers[GroupName];
   auto Statuses = collectStatuses(co_await runControlStatements(
       Host, GroupName, listInstances(Group, true), std::string(platform::StatusText)));
+  // The attempt may have ended, and resumed the replicas, while they were asked.
   bool HasEnded = State.m_Duty.m_OpenOrders.empty() ||
                   (Statuses.contains(Candidate) && Statuses[Candidate].m_IsPrimary);
   std::erase_if(Statuses, [&](const auto &Entry) {
@@ -365,10 +366,12 @@
     if (Group.m_PendingGeneration == 0)
       announcePromotion(Host, Group, State);
     State.m_SuspendedReplicas.insert(ReceivingIds.begin(), ReceivingIds.end());
+    State.m_IsRenewingSuspension = true;
     co_await runControlStatements(Host, GroupName, ReceivingIds,
                                   platform::formatSuspend(State.m_SuspendTerm));
+    State.m_IsRenewingSuspension = false;
   }
-  State.m_IsRenewingSuspension = false;
+  State.m_IsCheckingSuspension = false;
 }
 
 // Orders the promotion of an instance and waits until it is primary. Returns whether it is, and
@@ -417,9 +420,9 @@
     if (Group.m_PendingGeneration != 0)
       Group.m_PendingGenerationAt = bootNow();
     // Not awaited: a replica that does not answer must not delay the end of the promotion.
-    if (!std::exchange(State.m_IsRenewingSuspension, true))
+    if (!std::exchange(State.m_IsCheckingSuspension, true))
       spawnTask(Host, "renew_suspension", renewSuspension(Host, Group.m_Name, Candidate),
-                [&State] { State.m_IsRenewingSuspension = false; });
+                [&State] { State.m_IsCheckingSuspension = State.m_IsRenewingSuspension = false; });
     const LineInstance *Target = findInstance(Host, Candidate);
     if (!Target)
       break;
--- a/src/takeover.h
+++ b/src/takeover.h
@@ -63,8 +63,9 @@
   TimePoint m_ProbedAt{};         // last probe of the primary
   std::set<std::string> m_SuspendedReplicas; // by this host, and not resumed since
   uint64_t m_SuspendTerm = 0;                // of that order
-  bool m_IsRenewingSuspension = false;
-  std::string m_LastReason; // of the last step, for the state dump
+  bool m_IsCheckingSuspension = false; // the replicas are asked whether they are still suspended
+  bool m_IsRenewingSuspension = false; // those that are not are being suspended again
+  std::string m_LastReason;            // of the last step, for the state dump
 };
 
 enum class TakeoverAction {
