Move control statements to a file of their own, and log why there is no candidate

The log of a failed attempt said "no instance holds every commit for certain" whatever the reason was: a primary that answered, a replica that was not suspended, a candidate that did not catch up. It now names the one that holds, and an attempt that suspends nothing lists its replicas, too.

--- /dev/null
+++ b/src/line_control.cpp
@@ -0,0 +1,95 @@
+// Each statement runs on a connection of its own, because an instance that is out of connections or
+// slots for callers still has to answer it.
+#include "line_control.h"
+
+#include "platform/line_codec.h"
+
+namespace quetzalpaddle {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Customer name of the host's own connections; instances require one.
+constexpr const char *ControlCustomer = "quetzalpaddle";
+
+} // namespace
+
+Awaitable<ControlAnswer> runControlStatement(LineHost &Host, std::string Address, std::string Group,
+                                             std::string Instance, std::string Text) {
+  ControlAnswer Result;
+  auto Endpoint = parseEndpoint(Address);
+  if (!Endpoint)
+    co_return Result;
+  auto Connection = std::make_shared<LineConnection>(Tcp::socket(Host.m_Io));
+  ScopedDeadline Deadline(Host.m_DeadlineQueue, bootNow() + TakeoverSettings().m_ProbeTimeout,
+                          [Connection] { closeSocket(Connection->m_Socket); });
+  auto [Error] = co_await Connection->m_Socket.async_connect(*Endpoint, AsTuple);
+  if (Error)
+    co_return Result;
+  co_await writeText(*Connection, platform::formatConnect(Group, ControlCustomer, Instance) +
+                                      platform::formatQuery(platform::HostStatementId, Text));
+  for (int ReadyCount = 0; ReadyCount < 2;) {
+    auto Line = co_await readLine(*Connection, platform::MaxMessageBytes);
+    if (!Line)
+      break;
+    auto Message = platform::parseInstanceMessage(*Line);
+    if (auto *Row = std::get_if<platform::RowMessage>(&Message))
+      Result.m_Status = platform::parseStatus(Row->m_Row);
+    else if (auto *ErrorAnswer = std::get_if<platform::ErrorMessage>(&Message))
+      Result.m_IsReachable = ErrorAnswer->m_Code == "BUSY" || ErrorAnswer->m_Code == "OVERLOAD";
+    else if (std::holds_alternative<platform::ReadyMessage>(Message))
+      ++ReadyCount;
+  }
+  Result.m_IsReachable = Result.m_IsReachable || Result.m_Status.has_value();
+  closeSocket(Connection->m_Socket);
+  co_return Result;
+}
+
+Awaitable<std::map<std::string, ControlAnswer>>
+runControlStatements(LineHost &Host, std::string Group, std::set<std::string> Instances,
+                     std::string Text) {
+  struct ControlRound {
+    explicit ControlRound(asio::io_context &Io) : m_Completion(Io) {}
+    std::map<std::string, ControlAnswer> m_Answers;
+    size_t m_RemainingCount = 0;
+    Wakeup m_Completion;
+  };
+  auto Round = std::make_shared<ControlRound>(Host.m_Io);
+  Round->m_RemainingCount = Instances.size();
+  auto RunOne = [](LineHost &LocalHost, std::shared_ptr<ControlRound> Progress, std::string Address,
+                   std::string GroupName, std::string Id,
+                   std::string StatementText) -> Awaitable<void> {
+    Progress->m_Answers[Id] =
+        co_await runControlStatement(LocalHost, Address, GroupName, Id, StatementText);
+    if (--Progress->m_RemainingCount == 0)
+      Progress->m_Completion.wake();
+  };
+  if (Instances.empty())
+    co_return Round->m_Answers;
+  for (const std::string &Id : Instances) {
+    const LineInstance *Target = findInstance(Host, Id);
+    spawnTask(Host, "control_statement",
+              RunOne(Host, Round, Target ? Target->m_Address : "", Group, Id, Text));
+  }
+  co_await Round->m_Completion.wait();
+  co_return Round->m_Answers;
+}
+
+std::map<std::string, LineStatus>
+collectStatuses(const std::map<std::string, ControlAnswer> &Answers) {
+  std::map<std::string, LineStatus> Result;
+  for (const auto &[Id, Answer] : Answers)
+    if (Answer.m_Status)
+      Result[Id] = *Answer.m_Status;
+  return Result;
+}
+
+std::map<std::string, LineStatus>
+collectSuspended(const std::map<std::string, ControlAnswer> &Answers, uint64_t Term) {
+  auto Result = collectStatuses(Answers);
+  std::erase_if(Result, [&](const auto &Entry) { return Entry.second.m_SuspendTerm < Term; });
+  return Result;
+}
+
+} // namespace quetzalpaddle
--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -7,7 +7,7 @@
 // second conditional update: a host that takes the duty from then on knows that the order may still
 // be carried out, and one that took it before makes the update fail. While an order is open, no
 // replica but its candidate receives.
-#include "line_host.h"
+#include "line_control.h"
 
 #include "platform/line_codec.h"
 #include "platform/store_client.h"
@@ -34,80 +34,9 @@
 constexpr uint64_t TermMargin = 10;
 // Number of polls for the candidate of a switchover to catch up.
 constexpr int MaxCatchUpPolls = 5;
-// Customer name of the host's own connections; instances require one.
-constexpr const char *ControlCustomer = "quetzalpaddle";
 
 const TakeoverSettings DefaultSettings;
 
-// The answer to a status, suspend or resume statement.
-struct ControlAnswer {
-  bool m_IsReachable = false; // it answered, possibly only that it is busy
-  std::optional<LineStatus> m_Status;
-};
-
-// Runs a status, suspend or resume statement on a new connection.
-Awaitable<ControlAnswer> runControlStatement(LineHost &Host, std::string Address, std::string Group,
-                                             std::string Instance, std::string Text) {
-  ControlAnswer Result;
-  auto Endpoint = parseEndpoint(Address);
-  if (!Endpoint)
-    co_return Result;
-  auto Connection = std::make_shared<LineConnection>(Tcp::socket(Host.m_Io));
-  ScopedDeadline Deadline(Host.m_DeadlineQueue, bootNow() + DefaultSettings.m_ProbeTimeout,
-                          [Connection] { closeSocket(Connection->m_Socket); });
-  auto [Error] = co_await Connection->m_Socket.async_connect(*Endpoint, AsTuple);
-  if (Error)
-    co_return Result;
-  co_await writeText(*Connection, platform::formatConnect(Group, ControlCustomer, Instance) +
-                                      platform::formatQuery(platform::HostStatementId, Text));
-  for (int ReadyCount = 0; ReadyCount < 2;) {
-    auto Line = co_await readLine(*Connection, platform::MaxMessageBytes);
-    if (!Line)
-      break;
-    auto Message = platform::parseInstanceMessage(*Line);
-    if (auto *Row = std::get_if<platform::RowMessage>(&Message))
-      Result.m_Status = platform::parseStatus(Row->m_Row);
-    else if (auto *ErrorAnswer = std::get_if<platform::ErrorMessage>(&Message))
-      Result.m_IsReachable = ErrorAnswer->m_Code == "BUSY" || ErrorAnswer->m_Code == "OVERLOAD";
-    else if (std::holds_alternative<platform::ReadyMessage>(Message))
-      ++ReadyCount;
-  }
-  Result.m_IsReachable = Result.m_IsReachable || Result.m_Status.has_value();
-  closeSocket(Connection->m_Socket);
-  co_return Result;
-}
-
-// Runs the same statement at several instances concurrently.
-Awaitable<std::map<std::string, ControlAnswer>>
-runControlStatements(LineHost &Host, std::string Group, std::set<std::string> Instances,
-                     std::string Text) {
-  struct ControlRound {
-    explicit ControlRound(asio::io_context &Io) : m_Completion(Io) {}
-    std::map<std::string, ControlAnswer> m_Answers;
-    size_t m_RemainingCount = 0;
-    Wakeup m_Completion;
-  };
-  auto Round = std::make_shared<ControlRound>(Host.m_Io);
-  Round->m_RemainingCount = Instances.size();
-  auto RunOne = [](LineHost &LocalHost, std::shared_ptr<ControlRound> Progress, std::string Address,
-                   std::string GroupName, std::string Id,
-                   std::string StatementText) -> Awaitable<void> {
-    Progress->m_Answers[Id] =
-        co_await runControlStatement(LocalHost, Address, GroupName, Id, StatementText);
-    if (--Progress->m_RemainingCount == 0)
-      Progress->m_Completion.wake();
-  };
-  if (Instances.empty())
-    co_return Round->m_Answers;
-  for (const std::string &Id : Instances) {
-    const LineInstance *Target = findInstance(Host, Id);
-    spawnTask(Host, "control_statement",
-              RunOne(Host, Round, Target ? Target->m_Address : "", Group, Id, Text));
-  }
-  co_await Round->m_Completion.wait();
-  co_return Round->m_Answers;
-}
-
 // Unlisted instances are included: one that cannot reach the store loses its entry but goes on
 // receiving and acknowledging.
 std::set<std::string> listInstances(const LineGroup &Group, bool ReplicasOnly) {
@@ -129,23 +58,6 @@
   return UnansweredIds;
 }
 
-std::map<std::string, LineStatus>
-collectStatuses(const std::map<std::string, ControlAnswer> &Answers) {
-  std::map<std::string, LineStatus> Result;
-  for (const auto &[Id, Answer] : Answers)
-    if (Answer.m_Status)
-      Result[Id] = *Answer.m_Status;
-  return Result;
-}
-
-// Keeps the statuses of the replicas that confirm to be suspended.
-std::map<std::string, LineStatus>
-collectSuspended(const std::map<std::string, ControlAnswer> &Answers, uint64_t Term) {
-  auto Result = collectStatuses(Answers);
-  std::erase_if(Result, [&](const auto &Entry) { return Entry.second.m_SuspendTerm < Term; });
-  return Result;
-}
-
 void logTakeover(const LineGroup &Group, Takeover &State, std::string_view Event,
                  std::string ReasonText, const std::string &Instance = "") {
   State.m_LastReason = ReasonText;
@@ -447,16 +359,24 @@
   return Term;
 }
 
+// The replica that is to be promoted.
+struct Choice {
+  std::string m_Candidate; // empty: none
+  std::string m_Why;       // there is none
+};
+
+constexpr const char *NoCertainReplica = "no replica holds every commit for certain";
+
 // Prepares a switchover from a healthy primary. Suspends all replicas but the candidate, so that
-// every acknowledged commit passes through it. Returns the candidate, or an empty string on
-// failure.
-Awaitable<std::string> prepareSwitchover(LineHost &Host, LineGroup &Group, Takeover &State) {
+// every acknowledged commit passes through it.
+Awaitable<Choice> prepareSwitchover(LineHost &Host, LineGroup &Group, Takeover &State) {
   auto Statuses = collectStatuses(co_await runControlStatements(
       Host, Group.m_Name, listInstances(Group, false), std::string(platform::StatusText)));
   std::string Candidate = chooseSwitchoverCandidate(Group, Statuses, State.m_Duty.m_OpenOrders,
                                                     bootNow(), DefaultSettings);
   if (Candidate.empty() || !Statuses.contains(Group.m_Primary))
-    co_return std::string();
+    co_return Choice{"",
+                     Candidate.empty() ? "no replica can follow" : "the primary does not answer"};
   std::set<std::string> OtherReplicas = listInstances(Group, true);
   OtherReplicas.erase(Candidate);
   State.m_SuspendTerm = highestTerm(Statuses) + TermMargin;
@@ -470,7 +390,7 @@
     return SuspendedStatuses.contains(Id) || !Group.m_Instances.at(Id).m_IsListed;
   });
   if (!AllSuspended)
-    co_return std::string();
+    co_return Choice{"", "a replica was not suspended"};
   // The candidate has to hold what was acknowledged before the others were suspended.
   std::set<std::string> PrimaryIds;
   PrimaryIds.insert(Group.m_Primary);
@@ -478,7 +398,7 @@
       Host, Group.m_Name, PrimaryIds, std::string(platform::StatusText)));
   // A replica's position says nothing of what was acknowledged.
   if (PrimaryStatuses.empty() || !PrimaryStatuses.begin()->second.m_IsPrimary)
-    co_return std::string();
+    co_return Choice{"", "the primary does not answer as such"};
   logChoice(Group, State, SuspendedStatuses, {}, Candidate);
   Position RequiredPosition = PrimaryStatuses.begin()->second.m_ReceivedPosition;
   std::set<std::string> CandidateIds;
@@ -489,16 +409,16 @@
         Host, Group.m_Name, CandidateIds, std::string(platform::StatusText)));
     if (!CandidateStatuses.empty() &&
         CandidateStatuses.begin()->second.m_ReceivedPosition >= RequiredPosition)
-      co_return Candidate;
+      co_return Choice{Candidate, ""};
     co_await sleepFor(Host.m_Io, PollInterval);
   }
-  co_return std::string();
+  co_return Choice{"", "the candidate does not catch up"};
 }
 
 // Prepares a failover from a lost primary, or the end of an open order. Suspends all reachable
-// replicas and chooses the one with the longest log. Returns the candidate, or an empty string if
-// no replica is known to hold every acknowledged commit, or if a primary answers.
-Awaitable<std::string> prepareFailover(LineHost &Host, LineGroup &Group, Takeover &State) {
+// replicas and chooses the one with the longest log. There is no candidate if no replica is known
+// to hold every acknowledged commit, or if a primary answers.
+Awaitable<Choice> prepareFailover(LineHost &Host, LineGroup &Group, Takeover &State) {
   const std::set<std::string> OpenOrders = State.m_Duty.m_OpenOrders;
   TimePoint AskedAt = bootNow();
   // The lost primary is not asked: the wait for its answer would delay every failover.
@@ -513,12 +433,12 @@
   }
   if (!ReportedPrimary.empty() && OpenOrders.empty()) {
     logTakeover(Group, State, "primary_found", "it answers", ReportedPrimary);
-    co_return std::string();
+    co_return Choice{"", "a primary answers"};
   }
   State.m_SuspendTerm = highestTerm(Statuses) + TermMargin;
   // An order for the primary changes nothing but ends the other open orders.
   if (OpenOrders.contains(ReportedPrimary))
-    co_return ReportedPrimary;
+    co_return Choice{ReportedPrimary, ""};
   // The primary holds every commit, so that those of replicas which do not answer are not needed.
   if (!ReportedPrimary.empty())
     co_return co_await prepareSwitchover(Host, Group, State);
@@ -529,8 +449,10 @@
   PreliminaryResponses.m_Replicas = Statuses;
   PreliminaryResponses.m_MissingReplicas = listUnansweredReplicas(Group, Primary, Statuses);
   if (chooseFailoverCandidate(Group, PreliminaryResponses, OpenOrders, bootNow(), DefaultSettings)
-          .empty())
-    co_return std::string();
+          .empty()) {
+    logChoice(Group, State, Statuses, PreliminaryResponses.m_MissingReplicas, "");
+    co_return Choice{"", NoCertainReplica};
+  }
   std::set<std::string> ReachableIds;
   for (const auto &[Id, Status] : Statuses)
     ReachableIds.insert(Id);
@@ -544,7 +466,7 @@
   std::string Candidate =
       chooseFailoverCandidate(Group, Responses, OpenOrders, bootNow(), DefaultSettings);
   logChoice(Group, State, Responses.m_Replicas, Responses.m_MissingReplicas, Candidate);
-  co_return Candidate;
+  co_return Choice{Candidate, Candidate.empty() ? NoCertainReplica : ""};
 }
 
 // Returns whether the primary is still unreachable and the same.
@@ -565,7 +487,7 @@
               Group.m_Primary);
   countEvent(*Host.m_Metrics, "takeover_started");
   bool IsPromoted = false;
-  std::string Candidate;
+  Choice Chosen;
   bool HoldsDuty = co_await acquireDuty(Host, Group, State);
   bool IsLeftToHolder = !HoldsDuty && State.m_SeenToken > State.m_Duty.m_Token;
   bool IsFinished =
@@ -578,14 +500,15 @@
     if (IsFailover)
       announcePromotion(Host, Group, State);
     if (IsFailover)
-      Candidate = co_await prepareFailover(Host, Group, State);
+      Chosen = co_await prepareFailover(Host, Group, State);
     else
-      Candidate = co_await prepareSwitchover(Host, Group, State);
+      Chosen = co_await prepareSwitchover(Host, Group, State);
     if (Action == TakeoverAction::Failover && !isFailoverDue(Group, State, Primary))
-      Candidate.clear();
-    if (!Candidate.empty())
-      IsPromoted = co_await promote(Host, Group, State, Candidate);
+      Chosen = {"", "the primary's state has changed"};
+    if (!Chosen.m_Candidate.empty())
+      IsPromoted = co_await promote(Host, Group, State, Chosen.m_Candidate);
   }
+  const std::string &Candidate = Chosen.m_Candidate;
   TimePoint Now = bootNow();
   bool IsOrderOpen = !State.m_Duty.m_OpenOrders.empty();
   if (IsPromoted)
@@ -623,7 +546,7 @@
               : !HoldsDuty        ? "the duty is not held"
               : !IsListed         ? "the list of instances may lack some"
               : !IsStillDue       ? "the primary's state has changed"
-              : Candidate.empty() ? "no instance holds every commit for certain"
+              : Candidate.empty() ? Chosen.m_Why
               : IsOrderOpen       ? "an order is open; the replicas stay suspended"
                                   : "",
               Candidate);
