Let replicas receive once the instance of an open order has ended

What callers saw: a group that served no writes for good.

Cause: an order got no answer, so its instance was recorded as one that may still lead, and no other replica received. The instance then left as planned. The commits that the primary had taken waited for a replica, filled its slots, and a STATUS needs a slot: the holder of the duty got no answer from a healthy primary, found no replica that holds every commit for certain, and kept the others suspended. Each waited for the other.

Ruled out: the cut of the holder from the primary had ended 13 s before; the instance accepted connections, but a log line on each control statement shows that its STATUS alone timed out, 12 times in a row.

Why this is right: an instance that has ended carries out no order, so the suspension protects nothing. The order stays recorded; once the primary answers, the next attempt ends it by an accepted order with a higher token, as before.

--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -511,6 +511,11 @@
   const std::string &Candidate = Chosen.m_Candidate;
   TimePoint Now = bootNow();
   bool IsOrderOpen = !State.m_Duty.m_OpenOrders.empty();
+  // An instance that has ended leads no more. As long as no replica receives, the commits that wait
+  // may fill the slots of a primary, so that it could not even tell its status.
+  bool IsOrderVoid = IsListed && IsOrderOpen && Candidate.empty() &&
+                     haveEnded(Group, State.m_Duty.m_OpenOrders, Now, DefaultSettings);
+  bool MayReceive = !IsOrderOpen || IsOrderVoid;
   if (IsPromoted)
     notePromotion(Group, Candidate, State.m_Duty.m_Token, Now);
   else if (!IsOrderOpen)
@@ -530,13 +535,16 @@
     co_await sleepFor(Host.m_Io, PollInterval);
   // Once another host holds the duty, its attempt may depend on the replicas that this one
   // suspended. A promotion that an earlier holder began has suspended others.
-  if (!HoldsDutyStill && !IsOrderOpen && (IsPromoted || !State.m_SuspendedReplicas.empty()))
+  if (!HoldsDutyStill && MayReceive &&
+      (IsPromoted || IsOrderVoid || !State.m_SuspendedReplicas.empty()))
     HoldsDutyStill = co_await holdsDuty(Host, GroupName, State);
-  if (HoldsDutyStill && !IsOrderOpen) {
+  if (HoldsDutyStill && MayReceive) {
     std::set<std::string> SuspendedIds = std::exchange(State.m_SuspendedReplicas, {});
     SuspendedIds.merge(listInstances(Group, true));
     logTakeover(Group, State, "replicas_resumed",
-                IsPromoted || IsFinished ? "promotion done" : "attempt without an order ended",
+                IsPromoted || IsFinished ? "promotion done"
+                : IsOrderVoid            ? "the instance of the open order has ended"
+                                         : "attempt without an order ended",
                 fmt::format("{}", fmt::join(SuspendedIds, " ")));
     co_await resumeReplicas(Host, GroupName, SuspendedIds);
   }
--- a/src/takeover.cpp
+++ b/src/takeover.cpp
@@ -74,6 +74,14 @@
          (Instance.m_IsLeaving || Now - Instance.m_UnlistedSince >= Settings.m_RejoinTimeout);
 }
 
+bool haveEnded(const LineGroup &Group, const std::set<std::string> &Ids, TimePoint Now,
+               const TakeoverSettings &Settings) {
+  return std::ranges::all_of(Ids, [&](const std::string &Id) {
+    auto It = Group.m_Instances.find(Id);
+    return It == Group.m_Instances.end() || hasEnded(It->second, Now, Settings);
+  });
+}
+
 std::string chooseFailoverCandidate(const LineGroup &Group, const SuspendResponses &Responses,
                                     const std::set<std::string> &OpenOrders, TimePoint Now,
                                     const TakeoverSettings &Settings) {
--- a/src/takeover.h
+++ b/src/takeover.h
@@ -107,6 +107,10 @@
 // or it has been off the list for m_RejoinTimeout.
 bool hasEnded(const LineInstance &Instance, TimePoint Now, const TakeoverSettings &Settings);
 
+// Whether all of these instances have ended; one that this host has never seen listed has.
+bool haveEnded(const LineGroup &Group, const std::set<std::string> &Ids, TimePoint Now,
+               const TakeoverSettings &Settings);
+
 // Answers of the replicas that were ordered to stop receiving.
 struct SuspendResponses {
   std::map<std::string, LineStatus> m_Replicas; // by id; these receive nothing more
--- a/tests/line_promotion_test.py
+++ b/tests/line_promotion_test.py
@@ -315,6 +315,46 @@
         await fleet.check_outcome(time.monotonic())
 
 
+# Guards against replicas that stay suspended for an order whose instance has left. Nothing is
+# acknowledged any more, and the commits that wait fill the slots of the primary, which needs one to
+# tell its status.
+@test("line_promotion")
+async def orderForAnInstanceThatLeaves(make_fleet):
+    async with make_fleet(with_proxies=True) as fleet:
+        await fleet.start_writers(8)
+        group, primary, holder = fleet.group, fleet.group.primary(), await fleet.find_holder()
+        ordered = []
+
+        async def lose_orders_for_first(instance, *_):
+            ordered.append(instance)
+            return (None, None) if instance == ordered[0] else None
+        fleet.on_order = lose_orders_for_first
+        for replica in replicas(group):
+            set_deaf(fleet, replica, True)
+        await asyncio.sleep(0.1)  # what was received before is acknowledged
+
+        async def is_full():
+            return primary.busy_slots == primary.slots
+        await wait_until(is_full, "commits fill the slots of the primary", 2)
+        fleet.note(f"{holder.name} does not reach {primary.id}")
+        fleet.system.proxies[primary.id].cut(holder)
+
+        async def is_ordered():
+            return ordered
+        await wait_until(is_ordered, "a promotion is ordered", 6)
+        candidate = group.instances[ordered[0]]
+        candidate.draining = True
+        await candidate.register()
+        await asyncio.sleep(0.7)
+        await fleet.system.remove_instance(candidate)
+        check(await is_full(), "the primary has a free slot")
+        for replica in replicas(group):
+            set_deaf(fleet, replica, False)
+        fleet.system.proxies[primary.id].mend(holder)
+        fleet.note(f"{holder.name} reaches {primary.id}")
+        await fleet.check_outcome(time.monotonic())
+
+
 # Guards against a holder that is frozen between suspension and order, and orders a promotion when
 # it goes on and another host has taken the duty.
 @test("line_promotion")
