Give up an order if an instance has joined since the choice of its candidate

Cause: between the choice and the order lies the write that records the order. What the store lists meanwhile was not looked at.

It costs one list call a promotion.

--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -286,10 +286,20 @@
   State.m_IsCheckingSuspension = false;
 }
 
+// Returns whether the platform lists an instance of a group that was not known at the choice of a
+// candidate, or whether that is unknown.
+Awaitable<bool> hasNewInstance(LineHost &Host, const LineGroup &Group,
+                               const std::set<std::string> &KnownInstances) {
+  bool IsComplete = co_await refreshInstances(Host);
+  bool IsUnchanged = std::ranges::includes(KnownInstances, listInstances(Group, false));
+  co_return !IsComplete || !IsUnchanged;
+}
+
 // Orders the promotion of an instance and waits until it is primary. Returns whether it is, and
 // every earlier order has ended. The open orders of the duty are those that may still be carried
-// out afterwards.
-Awaitable<bool> promote(LineHost &Host, LineGroup &Group, Takeover &State, std::string Candidate) {
+// out afterwards. KnownInstances: those that the choice of the candidate rests on.
+Awaitable<bool> promote(LineHost &Host, LineGroup &Group, Takeover &State, std::string Candidate,
+                        std::set<std::string> KnownInstances) {
   PromotionDuty NewDuty = State.m_Duty;
   NewDuty.m_OpenOrders.insert(Candidate);
   bool HasEarlierOrder = !State.m_Duty.m_OpenOrders.empty();
@@ -304,9 +314,13 @@
   bool MayStillCome = HasEarlierOrder;
   bool IsAccepted = false;
   bool IsSuperseded = false;
+  // A replica that has joined since may be the only one with the newest commits.
+  bool IsOutdated = co_await hasNewInstance(Host, Group, KnownInstances);
+  if (IsOutdated)
+    logTakeover(Group, State, "promotion_given_up", "an instance has joined", Candidate);
   TimePoint OrderedAt{};
   TimePoint Deadline = bootNow() + DefaultSettings.m_PromotionTimeout;
-  while (bootNow() < Deadline && !IsSuperseded) {
+  while (bootNow() < Deadline && !IsSuperseded && !IsOutdated) {
     if (!IsAccepted && bootNow() - OrderedAt > DefaultSettings.m_OrderRetryInterval) {
       OrderedAt = bootNow();
       auto Answer = co_await platform::orderPromotion(Host.m_StoreClient, Group.m_Name, Candidate,
@@ -499,6 +513,7 @@
   if (IsStillDue) {
     if (IsFailover)
       announcePromotion(Host, Group, State);
+    std::set<std::string> KnownInstances = listInstances(Group, false);
     if (IsFailover)
       Chosen = co_await prepareFailover(Host, Group, State);
     else
@@ -506,7 +521,7 @@
     if (Action == TakeoverAction::Failover && !isFailoverDue(Group, State, Primary))
       Chosen = {"", "the primary's state has changed"};
     if (!Chosen.m_Candidate.empty())
-      IsPromoted = co_await promote(Host, Group, State, Chosen.m_Candidate);
+      IsPromoted = co_await promote(Host, Group, State, Chosen.m_Candidate, KnownInstances);
   }
   const std::string &Candidate = Chosen.m_Candidate;
   TimePoint Now = bootNow();
--- a/tests/line_promotion_test.py
+++ b/tests/line_promotion_test.py
@@ -355,6 +355,37 @@
         await fleet.check_outcome(time.monotonic())
 
 
+# Guards against an order that rests on the replicas of a moment ago: the only one with the newest
+# acknowledged writes is listed between the choice of the candidate and the order.
+@test("line_promotion")
+async def replicaThatIsListedBeforeTheOrder(make_fleet):
+    async with make_fleet() as fleet:
+        await fleet.start_writers()
+        store, group, primary = fleet.system.store, fleet.group, fleet.group.primary()
+        others = replicas(group)
+        new = await fleet.system.add_instance(group, primary.zone, log=primary.log)
+        new.reaches_store = False
+        for replica in others:
+            set_deaf(fleet, replica, True)
+        await asyncio.sleep(0.3)
+        check(not any(other.received_position() == new.received_position() for other in others),
+              "the new replica has nothing that the others lack")
+        put, tokens = store.put, set()
+
+        async def put_and_list(kind, name, spec, *args):
+            if kind == line_fleet.DUTY_KIND and spec["token"] in tokens and not new.reaches_store:
+                fleet.note(f"{new.id} is listed before the first order")
+                new.reaches_store = True
+                await new.register()
+            tokens.add(kind == line_fleet.DUTY_KIND and spec["token"])
+            return await put(kind, name, spec, *args)
+        store.put = put_and_list
+        await crash_primary(fleet, CRASH_SECONDS)
+        for replica in others:
+            set_deaf(fleet, replica, False)
+        await fleet.check_outcome(time.monotonic() + 1)
+
+
 # Guards against a holder that is frozen between suspension and order, and orders a promotion when
 # it goes on and another host has taken the duty.
 @test("line_promotion")
