Pass on a commit only if the successor of a leaving primary holds it

Cause: in a switchover the primary works on until the promotion takes effect, a second after the order. A replica that starts in that time counts for its acknowledgements, although the successor, if it lags then, lacks the commits.

Fix: the host that promotes tells all hosts the successor before it suspends the other replicas. From then on the host that dispatches to the primary passes on an acknowledgement only once the successor has received the commit, which its status or an answer to a caller shows. Writes go on during the switchover, unlike with a STEPDOWN or a pause.

Ruled out: to ask the successor once before the order (it may lag later), and to suspend the new replica faster (it lets the primary acknowledge as it starts).

--- a/src/line_dispatch.cpp
+++ b/src/line_dispatch.cpp
@@ -319,7 +319,6 @@
   Dispatch.m_WriteGate.m_InProgressCount -= Request.write() ? 1 : 0;
   if (Reply.outcome() == RunReply::ANSWERED)
     markReachable(Request.instance(), Dispatch);
-  withholdAcknowledgement(Host, Request.instance(), Request.write(), Reply);
   if (Reply.outcome() == RunReply::ANSWERED) {
     noteShownPosition(Host, Request.instance(), Reply, Connection->m_SentAt);
   } else
@@ -330,8 +329,6 @@
              {"sent", Reply.outcome() == RunReply::LOST ? "yes" : "no"},
              {"waited_ms", std::to_string((bootNow() - Connection->m_SentAt) / Millis(1))},
              {"limit_ms", std::to_string(Request.run_ms())}});
-  if (Request.write() && Reply.outcome() == RunReply::ANSWERED && Reply.error_code().empty())
-    Dispatch.m_WriteGate.m_AcknowledgedAt = bootNow();
   Connection->m_SentAt = {};
   co_return Reply;
 }
@@ -469,24 +466,6 @@
 
 } // namespace
 
-void withholdAcknowledgement(LineHost &Host, const std::string &Instance, bool IsWrite,
-                             RunReply &Reply) {
-  const LineGroup *Group = findGroupOf(Host, Instance);
-  bool IsAcknowledged =
-      IsWrite && Reply.outcome() == RunReply::ANSWERED && Reply.error_code().empty();
-  Position Committed{Reply.position().term(), Reply.position().index()};
-  if (!IsAcknowledged || !Group || mayAcknowledge(*Group, Instance, Committed, bootNow()))
-    return;
-  countEvent(*Host.m_Metrics, "acknowledgement_withheld");
-  logLine(LogLevel::Info, "acknowledgement_withheld",
-          {{"instance", Instance},
-           {"group", Group->m_Name},
-           {"primary", Group->m_Primary},
-           {"pending", std::to_string(Group->m_PendingGeneration)},
-           {"position", fmt::format("{}.{}", Committed.m_Term, Committed.m_Index)}});
-  Reply = makeFailureReply(RunReply::LOST, Reason::OutcomeUnknown);
-}
-
 Duration expectedWait(const InstanceDispatch &Dispatch) {
   Duration ServiceTime = Dispatch.m_ServiceTime == Duration::zero() ? Duration(InitialServiceTime)
                                                                     : Dispatch.m_ServiceTime;
@@ -508,6 +487,7 @@
     Reply = co_await runInTransaction(Host, Request, Key);
   else
     Reply = co_await runOnPooledConnection(Host, Request, Key);
+  co_await checkAcknowledgement(Host, Request.instance(), Request.write(), Reply);
   InstanceDispatch &Dispatch = Host.m_Dispatches[Request.instance()];
   Reply.set_wait_us(static_cast<uint32_t>(
       std::chrono::duration_cast<std::chrono::microseconds>(expectedWait(Dispatch)).count()));
--- a/src/line_host.h
+++ b/src/line_host.h
@@ -4,6 +4,7 @@
 // Index of this file:
 // [SECTION] Settings
 // [SECTION] Dispatcher of an instance (line_dispatch.cpp)
+// [SECTION] Acknowledgements (line_commit.cpp)
 // [SECTION] Other hosts (line_peer.cpp, line_gossip.cpp, line_updates.cpp)
 // [SECTION] Callers' sessions (line_caller.cpp, line_session.cpp)
 // [SECTION] Platform's store (line_sync.cpp)
@@ -120,6 +121,17 @@
   uint64_t m_InstanceIncarnation = 0;
 };
 
+//-----------------------------------------------------------------------------
+// [SECTION] Acknowledgements (line_commit.cpp)
+//-----------------------------------------------------------------------------
+
+// What this host has asked a replica about its log.
+struct ReplicaCheck {
+  Position m_Received; // as of the last answer
+  TimePoint m_AskedAt{};
+  bool m_IsAsked = false; // no answer yet
+};
+
 //-----------------------------------------------------------------------------
 // [SECTION] Other hosts (line_peer.cpp, line_gossip.cpp, line_updates.cpp)
 //-----------------------------------------------------------------------------
@@ -253,6 +265,7 @@
   std::array<SentBytes, 4> m_SentBytes; // by SentKind
 
   std::map<std::string, InstanceDispatch> m_Dispatches; // by instance
+  std::map<std::string, ReplicaCheck> m_ReplicaChecks;  // by instance
   std::map<TransactionKey, PinnedTransaction> m_Transactions;
   std::map<uint64_t, std::shared_ptr<FrameConnection>> m_InboundLinks; // from other hosts, by id
   size_t m_ForwardedStatementCount = 0;                                // that other hosts wait for
@@ -304,13 +317,20 @@
 // Closes idle connections to instances that other hosts now dispatch to.
 void retireDispatches(LineHost &Host, TimePoint Now);
 
+// Estimates the wait for a slot.
+Duration expectedWait(const InstanceDispatch &Dispatch);
+
+// --- line_commit.cpp ---
+
 // Turns the acknowledgement of a commit that may not be passed on into a lost answer. IsWrite: the
 // statement writes or commits.
 void withholdAcknowledgement(LineHost &Host, const std::string &Instance, bool IsWrite,
                              line::RunReply &Reply);
 
-// Estimates the wait for a slot.
-Duration expectedWait(const InstanceDispatch &Dispatch);
+// The same, after it has waited until a replica that no promotion leaves out holds the commit, if
+// the acknowledgement alone does not suffice. For the dispatcher of the instance.
+Awaitable<void> checkAcknowledgement(LineHost &Host, std::string Instance, bool IsWrite,
+                                     line::RunReply &Reply);
 
 // --- line_peer.cpp ---
 
--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -381,6 +381,15 @@
 
 constexpr const char *NoCertainReplica = "no replica holds every commit for certain";
 
+// Tells all hosts that a replica is to replace the healthy primary, so that they pass on only
+// acknowledgements of commits that it holds.
+void announceSuccessor(LineHost &Host, LineGroup &Group, Takeover &State,
+                       const std::string &Successor) {
+  State.m_Successor = Group.m_Successor = Successor;
+  Group.m_SuccessorAt = bootNow();
+  sendGossip(Host, Group.m_SuccessorAt);
+}
+
 // Prepares a switchover from a healthy primary. Suspends all replicas but the candidate, so that
 // every acknowledged commit passes through it.
 Awaitable<Choice> prepareSwitchover(LineHost &Host, LineGroup &Group, Takeover &State) {
@@ -391,6 +400,7 @@
   if (Candidate.empty() || !Statuses.contains(Group.m_Primary))
     co_return Choice{"",
                      Candidate.empty() ? "no replica can follow" : "the primary does not answer"};
+  announceSuccessor(Host, Group, State, Candidate);
   std::set<std::string> OtherReplicas = listInstances(Group, true);
   OtherReplicas.erase(Candidate);
   State.m_SuspendTerm = highestTerm(Statuses) + TermMargin;
@@ -526,6 +536,9 @@
   const std::string &Candidate = Chosen.m_Candidate;
   TimePoint Now = bootNow();
   bool IsOrderOpen = !State.m_Duty.m_OpenOrders.empty();
+  State.m_Successor.clear();
+  if (!IsOrderOpen)
+    Group.m_Successor.clear();
   // An instance that has ended leads no more. As long as no replica receives, the commits that wait
   // may fill the slots of a primary, so that it could not even tell its status.
   bool IsOrderVoid = IsListed && IsOrderOpen && Candidate.empty() &&
@@ -634,10 +647,13 @@
       }
       TimePoint EligibleSince = PromoterSince.try_emplace(Name, Now).first->second;
       Takeover &State = Host.m_Takeovers[Name];
+      if (!State.m_Successor.empty())
+        Group.m_SuccessorAt = Now;
       if (State.m_IsRunning || Now < State.m_NextAttemptAt)
         continue;
       auto EndAttempt = [&State, &Group] {
         State.m_IsRunning = false;
+        State.m_Successor.clear();
         if (State.m_Duty.m_OpenOrders.empty())
           Group.m_PendingGeneration = 0;
       };
--- a/src/line_updates.cpp
+++ b/src/line_updates.cpp
@@ -129,6 +129,8 @@
     if (It != Host.m_Takeovers.end() && It->second.m_IsRunning && Group.m_PendingGeneration != 0 &&
         Group.m_PendingGeneration == It->second.m_Duty.m_Token)
       News.set_switching(Group.m_PendingGeneration);
+    if (It != Host.m_Takeovers.end())
+      News.set_successor(It->second.m_Successor);
     uint64_t DutyToken = announcedToken(Host, Name);
     News.set_duty_token(DutyToken);
     News.set_writes_stalled(Group.m_WritesStalled &&
@@ -510,6 +512,10 @@
     Group.m_PendingGeneration = Update.switching();
     Group.m_PendingGenerationAt = Now;
   }
+  if (!Update.successor().empty()) {
+    Group.m_Successor = Update.successor();
+    Group.m_SuccessorAt = Now;
+  }
   if (Update.writes_stalled() && Update.primary() == Group.m_Primary) {
     Group.m_WritesStalled = true;
     Group.m_WritesStalledAt = std::max(Group.m_WritesStalledAt, Now - StallReportTimeout / 2);
--- a/src/positions.cpp
+++ b/src/positions.cpp
@@ -43,6 +43,8 @@
 // Time after which an unfinished promotion is disregarded, since the host that ran it may have
 // died.
 constexpr Millis PendingPromotionTimeout{4000};
+// The same for a successor, which its promoter reports in every update.
+constexpr Millis SuccessorTimeout{1000};
 
 // Clears the history, because positions of the previous primary may have been rolled back and no
 // replica would ever reach them.
@@ -198,6 +200,21 @@
   return Group.m_Primary == Instance && !isPromotionPending(Group, Now);
 }
 
+std::optional<std::set<std::string>>
+listRequiredHolders(const LineGroup &Group, const std::string &Instance, TimePoint Now) {
+  bool IsSuccessorKnown =
+      !Group.m_Successor.empty() && Now - Group.m_SuccessorAt < SuccessorTimeout;
+  if (!IsSuccessorKnown || Group.m_Successor == Instance)
+    return std::nullopt;
+  std::set<std::string> Holders;
+  Holders.insert(Group.m_Successor);
+  return Holders;
+}
+
+bool holdsCommit(Position Received, Position Committed) {
+  return Received.m_Term == Committed.m_Term && Received >= Committed;
+}
+
 bool expectsPrimary(const LineGroup &Group, TimePoint Now) {
   if (isPromotionPending(Group, Now))
     return true;
--- a/src/positions.h
+++ b/src/positions.h
@@ -75,7 +75,10 @@
   // Generation of a promotion in progress, during which no writes are sent; 0: none.
   uint64_t m_PendingGeneration = 0;
   TimePoint m_PendingGenerationAt{}; // when it began or was last reported
-  PositionHistory m_History;         // of m_Primary
+  // Replica that is to replace the healthy primary; empty: none. It may lead at any moment.
+  std::string m_Successor;
+  TimePoint m_SuccessorAt{}; // when it was chosen or last reported
+  PositionHistory m_History; // of m_Primary
   bool m_WritesStalled = false;
   TimePoint m_WritesStalledAt{}; // when it was last reported
 };
@@ -126,6 +129,17 @@
 bool mayAcknowledge(const LineGroup &Group, const std::string &Instance, Position Committed,
                     TimePoint Now);
 
+// Returns the replicas of which one has to hold a commit before the acknowledgement by an instance
+// is passed on; nothing if the acknowledgement suffices. Any replica counts for the instance's
+// acknowledgement, also one that has started lately. While the primary is being replaced by a
+// successor, that one has to hold the commit.
+std::optional<std::set<std::string>>
+listRequiredHolders(const LineGroup &Group, const std::string &Instance, TimePoint Now);
+
+// Whether a log that has received up to a position holds a commit. A log of another term may have
+// been rolled back.
+bool holdsCommit(Position Received, Position Committed);
+
 // Whether writes may be sent to the known primary now.
 bool hasPrimary(const LineGroup &Group, TimePoint Now);
 
--- a/src/takeover.h
+++ b/src/takeover.h
@@ -63,6 +63,7 @@
   TimePoint m_ProbedAt{};         // last probe of the primary
   std::set<std::string> m_SuspendedReplicas; // by this host, and not resumed since
   uint64_t m_SuspendTerm = 0;                // of that order
+  std::string m_Successor; // replica by which this host is replacing a healthy primary; empty: none
   bool m_IsCheckingSuspension = false; // the replicas are asked whether they are still suspended
   bool m_IsRenewingSuspension = false; // those that are not are being suspended again
   std::string m_LastReason;            // of the last step, for the state dump
--- a/tests/positions_test.cpp
+++ b/tests/positions_test.cpp
@@ -23,7 +23,7 @@
   Group.m_Name = "g";
   for (auto [Id, DataCentre] : {std::pair{"p", "a"}, {"r1", "b"}, {"r2", "c"}})
     Group.m_Instances[Id] = makeInstance(Id, DataCentre);
-  noteRole(Group, "p", true, Start);
+  noteRole(Group, "p", Start);
   return Group;
 }
 
@@ -173,12 +173,31 @@
   LineGroup Group = makeGroup();
   noteNotPrimary(Group, "p", Start);
   cr_assert_not(hasPrimary(Group, Start));
-  noteRole(Group, "r2", true, Start);
+  noteRole(Group, "r2", Start);
   cr_assert_eq(Group.m_Primary, "r2");
 }
 
 // A data centre is cut off, and its hosts cannot reach the primary for seconds. Callers are refused
 // at once as soon as a normal recovery would have ended.
+// Guards against an acknowledgement that rests on a replica which a planned promotion leaves out.
+Test(positions, successor_of_a_healthy_primary_has_to_hold_a_commit) {
+  LineGroup Group = makeGroup();
+  Group.m_SyncReplicas = 1;
+  cr_assert_not(listRequiredHolders(Group, "p", Start));
+  Group.m_Successor = "r2";
+  Group.m_SuccessorAt = Start;
+  auto Holders = listRequiredHolders(Group, "p", Start + Millis(500));
+  cr_assert(Holders && *Holders == std::set<std::string>({"r2"}));
+  cr_assert_not(listRequiredHolders(Group, "r2", Start), "it leads already");
+  cr_assert_not(listRequiredHolders(Group, "p", Start + Millis(1000)), "not reported since");
+}
+
+Test(positions, log_of_another_term_does_not_hold_a_commit) {
+  cr_assert(holdsCommit({3, 100}, {3, 100}) && holdsCommit({3, 101}, {3, 100}));
+  cr_assert_not(holdsCommit({3, 99}, {3, 100}));
+  cr_assert_not(holdsCommit({4, 101}, {3, 100}), "it may have been rolled back");
+}
+
 Test(positions, callers_wait_only_as_long_as_a_recovery_takes) {
   TimePoint Start{std::chrono::hours(1)};
   LineGroup Group;
