Check commits at known replicas while a hub is silent

Cause: the primary counts the new replica, which the host that promotes on the other side does not know. The hosts beside the primary hear neither that host nor the store, and passed the acknowledgements on.

Fix: a host that dispatches to a primary and has not heard one of the hubs for 0.5 s passes on an acknowledgement only once a replica that has been listed for 3 s holds the commit. Every promotion takes such a replica into account: it is asked, and if it gives no answer there is no promotion. A host that promotes is a hub, so one that hears all hubs hears of the promotion.

Ruled out: a lease that refuses writes without more than half of the hubs or the store; it stops writes that are safe, as in an outage of the store or a crash of hubs. Checked writes go on.

--- a/src/hubs.h
+++ b/src/hubs.h
@@ -24,6 +24,8 @@
   // A leaf that last saw its home hub two report intervals ago reports to all hubs, since it knows
   // about the others only from its home hub.
   Millis m_HomeTimeout{450};
+  // A hub that was not heard for this long, which is two updates and a half, may be cut off.
+  Millis m_SilenceTimeout{500};
 };
 
 // The hubs as one host sees them, and its own role.
@@ -54,6 +56,12 @@
                     TimePoint Now, const MembershipSettings &Settings,
                     const HubSettings &HubConfig);
 
+// Returns whether this host has just heard, itself or through its home hub, from every other hub
+// that has not said that it stops. Hubs that were replaced for their silence count as well: a host
+// that promotes is one of them.
+bool hearsAllHubs(const Membership &Members, const HubRoles &Roles, TimePoint Now,
+                  const HubSettings &HubConfig);
+
 // Records since when this host expects updates from the hubs: a hub sends them to all others, and a
 // home hub passes on when it has heard from each.
 void awaitHubs(Membership &Members, const HubRoles &Roles, TimePoint Now);
--- a/src/line_commit.cpp
+++ b/src/line_commit.cpp
@@ -2,9 +2,10 @@
 //
 // An instance acknowledges a commit once syncReplicas replicas have received it. A replica counts
 // from its start, before the platform lists it, so a host that promotes may not know the only one
-// that has the commit. While a primary is being replaced, its acknowledgements are therefore passed
-// on only if its successor holds the commit; otherwise the caller is told that the outcome is
-// unknown.
+// that has the commit. Two kinds of acknowledgements are therefore checked: those of a primary that
+// is being replaced, and those that arrive at a host that may not hear of a promotion, because it
+// does not hear one of the hubs. They are passed on if a replica that the promotion relies on holds
+// the commit; otherwise the caller is told that the outcome is unknown.
 #include "line_control.h"
 #include "line_exchange.h"
 
@@ -57,7 +58,9 @@
   TimePoint Deadline = bootNow() + HolderTimeout;
   for (;;) {
     TimePoint Now = bootNow();
-    auto Holders = listRequiredHolders(Host.m_Groups[GroupName], Instance, Now);
+    auto Holders = listRequiredHolders(
+        Host.m_Groups[GroupName], Instance,
+        hearsAllHubs(Host.m_Members, Host.m_Roles, Now, Host.m_HubSettings), Now);
     if (!Holders || std::ranges::any_of(*Holders, [&](const std::string &Id) {
           return isHolder(Host, Id, Committed);
         }))
--- a/src/line_sync.cpp
+++ b/src/line_sync.cpp
@@ -187,6 +187,11 @@
                     Instance.m_ReportsPrimary != Update.m_ReportsPrimary;
   bool ReportsPrimary = Update.m_ReportsPrimary;
   if (IsNew) {
+    bool IsRelisted = !Instance.m_Id.empty() && Instance.m_StartTimeMs == Update.m_StartTimeMs;
+    bool IsFirstList = Host.m_Store.m_InstancesRevision == 0;
+    Update.m_KnownSince = IsRelisted    ? Instance.m_KnownSince
+                          : IsFirstList ? TimePoint{}
+                                        : bootNow();
     Update.m_ReportsPrimary = false;
     Instance = Update;
   }
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -230,6 +230,15 @@
   return Best;
 }
 
+bool hearsAllHubs(const Membership &Members, const HubRoles &Roles, TimePoint Now,
+                  const HubSettings &HubConfig) {
+  return std::ranges::all_of(Roles.m_NominalHubs, [&](const std::string &Id) {
+    auto It = Members.m_Hosts.find(Id);
+    return Id == Members.m_Self || It == Members.m_Hosts.end() || It->second.m_IsDraining ||
+           Now - It->second.m_LastSeenAt < HubConfig.m_SilenceTimeout;
+  });
+}
+
 void awaitHubs(Membership &Members, const HubRoles &Roles, TimePoint Now) {
   for (const std::string &Id : Roles.m_Hubs) {
     auto It = Members.m_Hosts.find(Id);
--- a/src/positions.cpp
+++ b/src/positions.cpp
@@ -45,6 +45,9 @@
 constexpr Millis PendingPromotionTimeout{4000};
 // The same for a successor, which its promoter reports in every update.
 constexpr Millis SuccessorTimeout{1000};
+// A replica that has been listed for this long is known to every host that promotes: longer than a
+// promotion takes from the list of instances to its effect.
+constexpr Millis MinKnownTime{3000};
 
 // Clears the history, because positions of the previous primary may have been rolled back and no
 // replica would ever reach them.
@@ -200,14 +203,21 @@
   return Group.m_Primary == Instance && !isPromotionPending(Group, Now);
 }
 
-std::optional<std::set<std::string>>
-listRequiredHolders(const LineGroup &Group, const std::string &Instance, TimePoint Now) {
-  bool IsSuccessorKnown =
-      !Group.m_Successor.empty() && Now - Group.m_SuccessorAt < SuccessorTimeout;
-  if (!IsSuccessorKnown || Group.m_Successor == Instance)
-    return std::nullopt;
+std::optional<std::set<std::string>> listRequiredHolders(const LineGroup &Group,
+                                                         const std::string &Instance,
+                                                         bool HearsAllHubs, TimePoint Now) {
   std::set<std::string> Holders;
-  Holders.insert(Group.m_Successor);
+  if (!Group.m_Successor.empty() && Now - Group.m_SuccessorAt < SuccessorTimeout) {
+    if (Group.m_Successor == Instance)
+      return std::nullopt;
+    Holders.insert(Group.m_Successor);
+    return Holders;
+  }
+  if (HearsAllHubs || Group.m_SyncReplicas == 0)
+    return std::nullopt;
+  for (const auto &[Id, Replica] : Group.m_Instances)
+    if (Id != Instance && Now - Replica.m_KnownSince >= MinKnownTime)
+      Holders.insert(Id);
   return Holders;
 }
 
--- a/src/positions.h
+++ b/src/positions.h
@@ -50,6 +50,7 @@
   bool m_ReportsPrimary = false;  // last role that it reported
   bool m_IsListed = true;         // in the platform's list
   TimePoint m_UnlistedSince{};    // if not listed
+  TimePoint m_KnownSince{};       // when it was first listed; zero: before this host's first list
   uint64_t m_StartTimeMs = 0;     // Unix time in ms; identifies its incarnation
   // Observed by this host or reported by others:
   Position m_AppliedPosition;          // highest position that its answers have shown
@@ -131,10 +132,14 @@
 
 // Returns the replicas of which one has to hold a commit before the acknowledgement by an instance
 // is passed on; nothing if the acknowledgement suffices. Any replica counts for the instance's
-// acknowledgement, also one that has started lately. While the primary is being replaced by a
-// successor, that one has to hold the commit.
-std::optional<std::set<std::string>>
-listRequiredHolders(const LineGroup &Group, const std::string &Instance, TimePoint Now);
+// acknowledgement, also one that has started lately, which a promotion may not take into account.
+//  - While the primary is being replaced by a successor, that one has to hold the commit.
+//  - HearsAllHubs: if this host may not hear of a promotion, one of the replicas that have been
+//    listed for a while has to: the host that promotes asks them all, and if one gives no answer,
+//    it does not promote.
+std::optional<std::set<std::string>> listRequiredHolders(const LineGroup &Group,
+                                                         const std::string &Instance,
+                                                         bool HearsAllHubs, TimePoint Now);
 
 // Whether a log that has received up to a position holds a commit. A log of another term may have
 // been rolled back.
--- a/tests/hubs_test.cpp
+++ b/tests/hubs_test.cpp
@@ -47,6 +47,29 @@
               Hubs);
 }
 
+// Guards against a host that is cut off and takes the hubs on its side for all there are.
+Test(hubs, silent_hub_is_noticed_also_after_its_replacement) {
+  Membership Members = makeFleet("d0-0");
+  for (auto &[Id, View] : Members.m_Hosts)
+    View.m_LastSeenAt = Start;
+  auto HearsAll = [&](TimePoint Now) {
+    HubRoles Roles = assignHubs(Members, InstancesPerDataCentre, Now, Settings, DefaultHubSettings);
+    return hearsAllHubs(Members, Roles, Now, DefaultHubSettings);
+  };
+  cr_assert(HearsAll(Start + Millis(400)));
+  cr_assert_not(HearsAll(Start + Millis(600)));
+  TimePoint Later = Start + DefaultHubSettings.m_ReplaceAfter + Millis(1000);
+  for (auto &[Id, View] : Members.m_Hosts)
+    View.m_LastSeenAt = Id == "d1-0" ? Start : Later;
+  cr_assert_not(HearsAll(Later), "it was replaced, but may still promote");
+  Members.m_Hosts["d1-0"].m_IsDraining = true;
+  cr_assert(HearsAll(Later), "it has said that it stops");
+  Members.m_Hosts["d1-0"].m_IsDraining = false;
+  Members.m_Hosts["d1-0"].m_LastSeenAt = Later;
+  Members.m_Hosts["d1-9"].m_LastSeenAt = Start;
+  cr_assert(HearsAll(Later), "a leaf is silent");
+}
+
 // All hubs of a data centre fail together. Its leaves choose another home hub at once. If the hubs
 // stay unreachable, other hosts of the data centre replace them, and all hosts choose the same
 // ones.
--- a/tests/line_promotion_test.py
+++ b/tests/line_promotion_test.py
@@ -386,6 +386,39 @@
         await fleet.check_outcome(time.monotonic() + 1)
 
 
+# Guards against a host that passes on what only a replica that has just started holds, while it may
+# not hear of a promotion: one of the hubs is silent.
+@test("line_promotion")
+async def replicaThatJoinsWhileAHubIsSilent(make_fleet):
+    async with make_fleet() as fleet:
+        await fleet.start_writers()
+        group, primary, others = fleet.group, fleet.group.primary(), replicas(fleet.group)
+        holder = await separate_duty(fleet, primary)
+        dispatcher = await find_dispatcher(fleet, primary)
+        silent = next(host for host in fleet.hosts if host not in (holder, dispatcher))
+        fleet.note(f"{silent.name} freezes")
+        silent.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(1)
+        before = len(fleet.acknowledged)
+        await asyncio.sleep(0.5)
+        check(len(fleet.acknowledged) > before, "no write is acknowledged while a hub is silent")
+        for replica in others:
+            set_deaf(fleet, replica, True)
+        await asyncio.sleep(0.1)
+        before = set(fleet.acknowledged)
+        new = await fleet.system.add_instance(group, primary.zone, log=primary.log)
+        group.note(f"{new.id} joins")
+        await new.register()
+        await asyncio.sleep(1)
+        passed_on = fleet.acknowledged - before
+        check(not passed_on, f"{len(passed_on)} writes that only the new replica holds were "
+              "acknowledged")
+        for replica in others:
+            set_deaf(fleet, replica, False)
+        silent.process.send_signal(signal.SIGCONT)
+        await fleet.check_outcome(time.monotonic())
+
+
 # Guards against a holder that is frozen between suspension and order, and orders a promotion when
 # it goes on and another host has taken the duty.
 @test("line_promotion")
--- a/tests/positions_test.cpp
+++ b/tests/positions_test.cpp
@@ -23,7 +23,7 @@
   Group.m_Name = "g";
   for (auto [Id, DataCentre] : {std::pair{"p", "a"}, {"r1", "b"}, {"r2", "c"}})
     Group.m_Instances[Id] = makeInstance(Id, DataCentre);
-  noteRole(Group, "p", Start);
+  noteRole(Group, "p", true, Start);
   return Group;
 }
 
@@ -173,7 +173,7 @@
   LineGroup Group = makeGroup();
   noteNotPrimary(Group, "p", Start);
   cr_assert_not(hasPrimary(Group, Start));
-  noteRole(Group, "r2", Start);
+  noteRole(Group, "r2", true, Start);
   cr_assert_eq(Group.m_Primary, "r2");
 }
 
@@ -183,13 +183,27 @@
 Test(positions, successor_of_a_healthy_primary_has_to_hold_a_commit) {
   LineGroup Group = makeGroup();
   Group.m_SyncReplicas = 1;
-  cr_assert_not(listRequiredHolders(Group, "p", Start));
+  cr_assert_not(listRequiredHolders(Group, "p", true, Start));
   Group.m_Successor = "r2";
   Group.m_SuccessorAt = Start;
-  auto Holders = listRequiredHolders(Group, "p", Start + Millis(500));
+  auto Holders = listRequiredHolders(Group, "p", true, Start + Millis(500));
   cr_assert(Holders && *Holders == std::set<std::string>({"r2"}));
-  cr_assert_not(listRequiredHolders(Group, "r2", Start), "it leads already");
-  cr_assert_not(listRequiredHolders(Group, "p", Start + Millis(1000)), "not reported since");
+  cr_assert_not(listRequiredHolders(Group, "r2", true, Start), "it leads already");
+  cr_assert_not(listRequiredHolders(Group, "p", true, Start + Millis(1000)), "not reported since");
+}
+
+// Guards against an acknowledgement that rests on a replica which has just started, at a host that
+// does not hear of the promotion in progress.
+Test(positions, known_replica_has_to_hold_a_commit_while_a_hub_is_silent) {
+  LineGroup Group = makeGroup();
+  Group.m_SyncReplicas = 1;
+  Group.m_Instances["r2"].m_KnownSince = Start - Millis(2900);
+  auto Holders = listRequiredHolders(Group, "p", false, Start);
+  cr_assert(Holders && *Holders == std::set<std::string>({"r1"}), "r2 has joined lately");
+  Holders = listRequiredHolders(Group, "p", false, Start + Millis(100));
+  cr_assert(Holders && *Holders == std::set<std::string>({"r1", "r2"}));
+  Group.m_SyncReplicas = 0;
+  cr_assert_not(listRequiredHolders(Group, "p", false, Start), "no replica needs to hold it");
 }
 
 Test(positions, log_of_another_term_does_not_hold_a_commit) {
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -116,6 +116,20 @@
 }
 
 // Guards against promoting a replica that received nothing for a while before the primary crashed.
+Test(takeover, instance_ends_as_planned_or_after_its_time_to_rejoin) {
+  LineGroup Group = makeGroup();
+  auto HasR1Ended = [&](TimePoint Now) { return haveEnded(Group, {"r1"}, Now, Settings); };
+  cr_assert_not(HasR1Ended(Start), "it is listed");
+  Group.m_Instances["r1"].m_IsListed = false;
+  Group.m_Instances["r1"].m_UnlistedSince = Start;
+  cr_assert_not(HasR1Ended(Start + Settings.m_RejoinTimeout - Millis(1)));
+  cr_assert(HasR1Ended(Start + Settings.m_RejoinTimeout));
+  Group.m_Instances["r1"].m_IsLeaving = true;
+  cr_assert(HasR1Ended(Start));
+  cr_assert_not(haveEnded(Group, {"r1", "r2"}, Start, Settings), "r2 is listed");
+  cr_assert(haveEnded(Group, {"unknown"}, Start, Settings));
+}
+
 Test(takeover, replica_with_the_longest_log_is_promoted) {
   LineGroup Group = makeGroup();
   SuspendResponses Responses;
