Fail over from a leaving primary that gives no answer

What callers saw: writes refused for as long as a primary that was to be replaced was down, if it crashed or was cut off before a successor led. A group whose leaving primary ended as planned, with no promotion accepted until then, served no writes any more.

Cause: assessPrimary() answered Switchover whenever the primary's entry was draining, and a switchover ends without a candidate unless the primary answers. The attempts repeated every 0.4 s, each with a new token; the failover that the fault needs was never considered.

Why this is right: only a primary that was confirmed less than m_SuspectTimeout ago, by this or another host, leads to a switchover. Any other is probed first, leaving or not. If it answers, it is confirmed, and the next check starts the switchover; if its probes fail for m_UnreachableTimeout, the same failover follows as for any other primary, with the same suspension and the same check before the order, isFailoverDue(). An open order still comes first. One that has ended as planned takes the same way: its log has gone to a replica at its address, which is asked like the others. A confirmation ends the series of failed probes also before a switchover or a resumption; by reading only, a failed probe of before could otherwise count after an attempt that was left to another holder.

--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -627,6 +627,10 @@
           Group.m_PendingGeneration = 0;
       };
       TakeoverAction Action = assessPrimary(Group, State, Now, DefaultSettings);
+      // The primary is confirmed, if only by other hosts. Later failures of probes count anew.
+      if (Action == TakeoverAction::None || Action == TakeoverAction::Resume ||
+          Action == TakeoverAction::Switchover)
+        State.m_UnreachableSince = {};
       bool IsSettled = Now - EligibleSince > DutyAcquisitionDelay;
       if (Action == TakeoverAction::Probe &&
           Now - State.m_ProbedAt > DefaultSettings.m_ProbeTimeout / 2) {
@@ -643,7 +647,6 @@
         State.m_IsRunning = true;
         spawnTask(Host, "resume_replicas", resumeAllReplicas(Host, Name), EndAttempt);
       } else if (Action == TakeoverAction::None) {
-        State.m_UnreachableSince = {};
         // A former holder may find an order that its successor has left open.
         bool IsHolder = State.m_Duty.m_Token != 0 && State.m_Duty.m_Token >= State.m_SeenToken;
         if (IsSettled && !IsHolder) {
--- a/src/takeover.cpp
+++ b/src/takeover.cpp
@@ -11,12 +11,14 @@
   if (!State.m_Duty.m_OpenOrders.empty())
     return TakeoverAction::Finish;
   auto It = Group.m_Instances.find(Group.m_Primary);
-  bool IsKnown = It != Group.m_Instances.end();
-  if (IsKnown && It->second.m_IsLeaving)
-    return TakeoverAction::Switchover;
+  bool IsLeaving = It != Group.m_Instances.end() && It->second.m_IsLeaving;
   std::optional<ConfirmedPosition> NewestPosition = newestConfirmedPosition(Group.m_History);
   bool IsConfirmed = NewestPosition && Now - NewestPosition->m_SentAt < Settings.m_SuspectTimeout &&
                      NewestPosition->m_SentAt > Group.m_PrimarySince;
+  // A switchover needs the answer of the primary. One that is not confirmed may have crashed, or
+  // ended as planned, and is probed first.
+  if (IsConfirmed && IsLeaving)
+    return TakeoverAction::Switchover;
   bool WritesStall =
       Group.m_WritesStalled && Now - Group.m_WritesStalledAt < Settings.m_SuspectTimeout;
   // Stalled writes do not start a failover: the cause may be suspended replicas, and those lack the
--- a/src/takeover.h
+++ b/src/takeover.h
@@ -73,7 +73,7 @@
   Probe,      // the primary is suspect: ask it for its status
   Resume,     // an interrupted attempt has left replicas suspended, or may have: writes stall
   Switchover, // the primary is healthy but leaving: promote a replica in its place
-  Failover,   // the primary is unreachable: promote a replica
+  Failover,   // the primary is unreachable, leaving or not: promote a replica
   Finish,     // an earlier order may still be carried out: promote, whatever the primary's state
 };
 
--- a/tests/line_promotion_test.py
+++ b/tests/line_promotion_test.py
@@ -355,6 +355,89 @@
         await fleet.check_outcome(time.monotonic())
 
 
+async def report_draining(fleet, instance):
+    instance.draining = True
+    fleet.group.note(f"{instance.id}, {instance.role}, is draining")
+    await instance.register()
+
+
+# Guards against a group without a primary for as long as a primary is down that was to be replaced:
+# the switchover needed its answer.
+@test("line_promotion")
+async def leavingPrimaryThatCrashes(make_fleet):
+    async with make_fleet() as fleet:
+        await fleet.start_writers()
+        primary, crashed_at = fleet.group.primary(), time.monotonic()
+        await report_draining(fleet, primary)
+        primary.kill()
+        check(not fleet.orders, "a promotion was ordered before the crash")
+        await fleet.check_outcome(crashed_at)
+        check(not primary.is_running, f"{primary.id} is back")
+
+
+# Guards against the same if it crashes when the switchover has suspended a replica, and no order was
+# sent.
+@test("line_promotion")
+async def leavingPrimaryThatCrashesAtASuspension(make_fleet):
+    async with make_fleet() as fleet:
+        await fleet.start_writers()
+        group, primary, crashed_at = fleet.group, fleet.group.primary(), []
+
+        def crash_at_suspension(instance):
+            run = instance.run_control_statement
+
+            async def run_and_crash(verb, term):
+                await run(verb, term)
+                if verb == "SUSPEND" and not crashed_at:
+                    crashed_at.append(time.monotonic())
+                    check(not fleet.orders, "a promotion was ordered before the crash")
+                    primary.kill()
+            instance.run_control_statement = run_and_crash
+        for replica in replicas(group):
+            crash_at_suspension(replica)
+        await report_draining(fleet, primary)
+
+        async def has_crashed():
+            return crashed_at
+        await wait_until(has_crashed, "the switchover suspends a replica", 5)
+        await fleet.check_outcome(crashed_at[0])
+        check(not primary.is_running, f"{primary.id} is back")
+
+
+# Guards against the same if no host reaches it, while it runs and reaches its replicas.
+@test("line_promotion")
+async def leavingPrimaryThatIsCutOff(make_fleet):
+    async with make_fleet(with_proxies=True) as fleet:
+        await fleet.start_writers()
+        group, primary, cut_at = fleet.group, fleet.group.primary(), time.monotonic()
+        group.note(f"no host reaches {primary.id}")
+        for host in fleet.hosts:
+            fleet.system.proxies[primary.id].cut(host)
+        await report_draining(fleet, primary)
+        await fleet.check_outcome(cut_at)
+        check(group.primary() is not primary, f"{primary.id} still leads")
+
+
+# Guards against a group that stays without a primary if no promotion was accepted until the leaving
+# primary ended as planned. Its log goes to a replica at its address.
+@test("line_promotion")
+async def leavingPrimaryThatEndsBeforeAPromotion(make_fleet):
+    async with make_fleet() as fleet:
+        await fleet.start_writers()
+        primary = fleet.group.primary()
+
+        async def refuse(*_):
+            return 503, {}
+        fleet.on_order = refuse
+        fleet.system.max_extra_drain_seconds = 1
+        new = await fleet.system.replace(primary, 2, is_new_first=False)
+        ended_at = time.monotonic()
+        check(fleet.group.primary() is None and new.role == "replica", "an instance leads")
+        check(fleet.orders, "no promotion was ordered")
+        fleet.on_order = None
+        await fleet.check_outcome(ended_at)
+
+
 # Guards against a holder that is frozen between suspension and order, and orders a promotion when
 # it goes on and another host has taken the duty.
 @test("line_promotion")
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -69,6 +69,71 @@
   cr_assert(assessPrimary(Group, InitialState, Start, Settings) == TakeoverAction::Switchover);
 }
 
+// Guards against a group that has no primary for as long as one that was to be replaced is down: a
+// switchover needs its answer.
+Test(takeover, leaving_primary_that_gives_no_answer_causes_a_failover) {
+  LineGroup Group = makeGroup();
+  Group.m_Instances["p"].m_IsLeaving = true;
+  addConfirmedPosition(Group.m_History, {{1, 1}, Start}, Start);
+  TimePoint SuspectAt = Start + Settings.m_SuspectTimeout;
+  Takeover State;
+  cr_assert(assessPrimary(Group, State, SuspectAt - Millis(1), Settings) ==
+            TakeoverAction::Switchover);
+  cr_assert(assessPrimary(Group, State, SuspectAt, Settings) == TakeoverAction::Probe);
+  State.m_UnreachableSince = SuspectAt;
+  TimePoint LostAt = SuspectAt + Settings.m_UnreachableTimeout;
+  cr_assert(assessPrimary(Group, State, LostAt - Millis(1), Settings) == TakeoverAction::Probe);
+  cr_assert(assessPrimary(Group, State, LostAt, Settings) == TakeoverAction::Failover);
+}
+
+// Guards against a failover from a leaving primary that works: it answers this host, or another one
+// as this host is cut off from it.
+Test(takeover, leaving_primary_that_answers_causes_a_switchover) {
+  LineGroup Group = makeGroup();
+  Group.m_Instances["p"].m_IsLeaving = true;
+  Takeover State;
+  cr_assert(assessPrimary(Group, State, Start, Settings) == TakeoverAction::Probe,
+            "it is not known whether it answers");
+  State.m_UnreachableSince = Start - Millis(2000);
+  addConfirmedPosition(Group.m_History, {{1, 1}, Start - Millis(200)}, Start);
+  cr_assert(assessPrimary(Group, State, Start, Settings) == TakeoverAction::Switchover);
+  Group.m_WritesStalled = true;
+  Group.m_WritesStalledAt = Start;
+  State.m_SuspendedReplicas = {"r1"};
+  cr_assert(assessPrimary(Group, State, Start, Settings) == TakeoverAction::Switchover);
+}
+
+// A confirmation of the time before this primary says nothing of it.
+Test(takeover, leaving_primary_is_probed_after_its_promotion) {
+  LineGroup Group = makeGroup();
+  Group.m_Instances["p"].m_IsLeaving = true;
+  Group.m_PrimarySince = Start - Millis(100);
+  addConfirmedPosition(Group.m_History, {{1, 1}, Start - Millis(200)}, Start);
+  cr_assert(assessPrimary(Group, InitialState, Start, Settings) == TakeoverAction::Probe);
+}
+
+// Guards against waiting for the answer of a primary that has ended as planned: no other instance
+// was promoted before. Its commits are on the replicas, which all have to answer.
+Test(takeover, leaving_primary_that_has_ended_causes_a_failover) {
+  LineGroup Group = makeGroup();
+  Group.m_Instances["p"].m_IsLeaving = true;
+  Group.m_Instances["p"].m_IsListed = false;
+  Group.m_Instances["p"].m_UnlistedSince = Start - Millis(2000);
+  Takeover State;
+  State.m_UnreachableSince = Start - Settings.m_UnreachableTimeout;
+  cr_assert(assessPrimary(Group, State, Start, Settings) == TakeoverAction::Failover);
+}
+
+// Guards against a second order beside one that may still be carried out.
+Test(takeover, open_order_is_finished_when_a_leaving_primary_is_lost) {
+  LineGroup Group = makeGroup();
+  Group.m_Instances["p"].m_IsLeaving = true;
+  Takeover State;
+  State.m_Duty.m_OpenOrders = {"r1"};
+  State.m_UnreachableSince = Start - Settings.m_UnreachableTimeout;
+  cr_assert(assessPrimary(Group, State, Start, Settings) == TakeoverAction::Finish);
+}
+
 // A host that is cut off in the middle of an attempt leaves replicas suspended, so that writes
 // stall. The replicas are resumed; the primary is not replaced, since suspended replicas lack
 // commits that it may still get acknowledged.
