Show two groups that serve no writes for good

What callers saw: nothing yet; both were found by reading.

Cause, primaryThatLeavesDuringAnOutage: an outage of the store lasts until just before a leaving primary ends. A group whose primary was leaving is never given a failover, and a switchover needs the primary's answer: "the primary does not answer", twice a second, although all replicas answer.

Cause, slotsOfThePromotedInstanceFill: the check of the suspension leaves out the instance that the list shows as primary, which since a moment is the candidate, and so cannot see that the order has taken effect. It suspends the replicas of the new primary, whose commits wait and fill its slots. It cannot tell its status, the order stays open, and with the crashed primary missing there is no certain candidate.

--- a/tests/line_promotion_test.py
+++ b/tests/line_promotion_test.py
@@ -18,6 +18,7 @@
 
 RESTART_SECONDS = 0.5  # a killed process starts again after a short delay
 OUTAGE_SECONDS = 6.9   # the longest outage of the store and the longest crash of an instance
+LEAVING_SECONDS = 7    # that a leaving instance serves for after its report, and a little longer
 CRASH_SECONDS = 3.0
 
 
@@ -355,6 +356,51 @@
         await fleet.check_outcome(time.monotonic())
 
 
+# Guards against a group whose leaving primary ends before its replacement was possible. A switchover
+# needs the answer of the primary, which never comes.
+@test("line_promotion")
+async def primaryThatLeavesDuringAnOutage(make_fleet):
+    async with make_fleet() as fleet:
+        await fleet.start_writers()
+        store, group, primary = fleet.system.store, fleet.group, fleet.group.primary()
+        primary.draining = True
+        await primary.register()
+        accepted_at = time.monotonic()
+        group.note(f"{primary.id} is draining, and the store is down")
+        store.stop()
+        await sleep_until(accepted_at + OUTAGE_SECONDS)
+        store.start()
+        group.note("the store is back")
+        for instance in group.instances.values():
+            instance.next_check_in = time.monotonic() + 0.1
+        await sleep_until(accepted_at + LEAVING_SECONDS + 1.5)
+        check(all(instance.is_listed for instance in group.instances.values()),
+              "an entry is not back")
+        await fleet.system.remove_instance(primary)
+        check(not fleet.orders, "a promotion was ordered before the primary ended")
+        new = await fleet.system.add_instance(group, primary.zone, primary.address, primary.log)
+        await new.register()
+        group.note(f"{new.id} joins with the log of {primary.id}")
+        await fleet.check_outcome(time.monotonic())
+
+
+# Guards against a check of the suspension that suspends the replicas of the promoted instance. The
+# commits that wait for them fill its slots, and it needs one to tell that it is primary.
+@test("line_promotion")
+async def slotsOfThePromotedInstanceFill(make_fleet):
+    async with make_fleet() as fleet:
+        await fleet.start_writers(12)
+        group, primary = fleet.group, fleet.group.primary()
+        for instance in group.instances.values():
+            instance.work_seconds = 0.03  # a usual statement of the users' instances
+        primary.kill()
+
+        async def is_promoted():
+            return group.primary() not in (primary, None)
+        await wait_until(is_promoted, "another instance leads", 8)
+        await fleet.check_outcome(time.monotonic())
+
+
 # Guards against a holder that is frozen between suspension and order, and orders a promotion when
 # it goes on and another host has taken the duty.
 @test("line_promotion")
