Let the slots of the promoted instance fill in every run

The promotion now takes effect a fixed time after a status was asked, with statements that are slow at first.

--- a/tests/line_promotion_test.py
+++ b/tests/line_promotion_test.py
@@ -14,6 +14,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "testing"))
 import line_fleet  # noqa: E402
+import line_standins  # noqa: E402
 from line_fleet import check, sleep_until, test, wait_until  # noqa: E402
 
 RESTART_SECONDS = 0.5  # a killed process starts again after a short delay
@@ -390,14 +391,35 @@
 async def slotsOfThePromotedInstanceFill(make_fleet):
     async with make_fleet() as fleet:
         await fleet.start_writers(12)
-        group, primary = fleet.group, fleet.group.primary()
+        group, primary, ordered = fleet.group, fleet.group.primary(), []
+        group.promote_seconds = 2  # the latest
+        loop = asyncio.get_running_loop()
+
+        def promote_between_polls(instance):
+            run = instance.run_control_statement
+
+            async def run_and_promote(verb, term):
+                await run(verb, term)
+                accepted = [order for order in fleet.orders
+                            if order[1] == instance.id and order[4] == 200]
+                if verb == "STATUS" and accepted and not ordered and \
+                        time.monotonic() - accepted[0][0] > 0.8:
+                    ordered.append(instance.id)
+                    loop.call_later(0.08, lambda: asyncio.ensure_future(
+                        group.complete_promotion(instance)))
+            instance.run_control_statement = run_and_promote
         for instance in group.instances.values():
-            instance.work_seconds = 0.03  # a usual statement of the users' instances
-        primary.kill()
+            instance.work_seconds = 0.2  # slow at first
+            promote_between_polls(instance)
+        primary.kill("is lost")
 
         async def is_promoted():
             return group.primary() not in (primary, None)
         await wait_until(is_promoted, "another instance leads", 8)
+        check(ordered, "the order took effect by itself")
+        await asyncio.sleep(0.5)
+        for instance in group.instances.values():
+            instance.work_seconds = line_standins.Instance.work_seconds
         await fleet.check_outcome(time.monotonic())
 
 
