Show replicas that stay suspended after their holder was killed

What callers saw: nothing yet; found by reading.

Cause: a holder is killed between its suspension and its order. A later holder resumes the replicas after a failed attempt only if it has suspended some itself. Here it has not: the commits that wait fill the slots of the primary, so that it does not answer, and a replica has ended since, so that there is no certain candidate. Each waits for the other.

--- a/tests/line_promotion_test.py
+++ b/tests/line_promotion_test.py
@@ -423,6 +423,56 @@
         await fleet.check_outcome(time.monotonic())
 
 
+# Guards against replicas that a holder has suspended before it was killed. The commits that wait
+# for them fill the slots of the primary, which needs one to tell its status, and the next holder
+# has no certain candidate, as a replica has left since.
+@test("line_promotion")
+async def suspensionOfAHolderThatIsKilled(make_fleet):
+    async with make_fleet(with_proxies=True) as fleet:
+        await fleet.start_writers(8)
+        group, primary, holder = fleet.group, fleet.group.primary(), await fleet.find_holder()
+        leaving = replicas(group)[-1]
+        new = await fleet.system.add_instance(group, leaving.zone, log=leaving.log)
+        await new.register()
+        leaving.draining = True
+        await leaving.register()
+        await asyncio.sleep(0.5)
+        suspended = set()
+
+        def kill_after_suspension(instance):
+            run = instance.run_control_statement
+
+            async def run_and_kill(verb, term):
+                await run(verb, term)
+                if verb == "SUSPEND" and len(suspended) < 3:
+                    suspended.add(instance.id)
+                    if len(suspended) == 3:
+                        fleet.kill(holder)
+            instance.run_control_statement = run_and_kill
+        for replica in replicas(group):
+            kill_after_suspension(replica)
+            set_deaf(fleet, replica, True)
+
+        async def is_full():
+            was_full = primary.busy_slots == primary.slots
+            await asyncio.sleep(0.1)  # longer than a connection takes
+            return was_full and primary.busy_slots == primary.slots
+        await wait_until(is_full, "commits fill the slots of the primary", 2)
+        fleet.note(f"{holder.name} does not reach {primary.id}")
+        fleet.system.proxies[primary.id].cut(holder)
+
+        async def is_killed():
+            return len(suspended) == 3
+        await wait_until(is_killed, "the holder suspends the replicas", 6)
+        check(not fleet.orders, "the order was sent already")
+        await fleet.system.remove_instance(leaving)
+        for replica in replicas(group):
+            set_deaf(fleet, replica, False)
+        check(await is_full(), "the primary has a free slot")
+        fleet.hosts.remove(holder)  # it does not start again
+        await fleet.check_outcome(time.monotonic())
+
+
 # Guards against a holder that is frozen between suspension and order, and orders a promotion when
 # it goes on and another host has taken the duty.
 @test("line_promotion")
