Show commits that are lost through a leaving instance whose entry has expired

What callers saw: nothing yet; found by reading.

Cause: an instance that was leaving counts as ended as soon as its entry is gone, but an entry also expires when the instance does not reach the store. As long as the holder announces the promotion, hosts withhold the acknowledgements; when the store is down, it does not, and 4 s later they pass them on. The late order then promotes an instance that has none of them.

--- a/tests/line_promotion_test.py
+++ b/tests/line_promotion_test.py
@@ -423,6 +423,56 @@
         await fleet.check_outcome(time.monotonic())
 
 
+# Guards against an order that is carried out late for a leaving instance that runs although its
+# entry has expired, when the others receive again and the hosts have forgotten the promotion.
+@test("line_promotion")
+async def orderForALeavingInstanceWhoseEntryHasExpired(make_fleet):
+    late_seconds = 11.5
+    async with make_fleet(with_proxies=True) as fleet:
+        await fleet.start_writers(8)
+        group, primary, ordered = fleet.group, fleet.group.primary(), []
+        holder = await separate_duty(fleet, primary)
+
+        async def lose_orders(instance, name, token):
+            if not ordered:
+                ordered.append((instance, name, token, time.monotonic()))
+            return None, None
+        fleet.on_order = lose_orders
+        for replica in replicas(group):
+            set_deaf(fleet, replica, True)
+        await asyncio.sleep(0.5)
+        fleet.note(f"{holder.name} does not reach {primary.id}")
+        fleet.system.proxies[primary.id].cut(holder)
+
+        async def is_ordered():
+            return ordered
+        await wait_until(is_ordered, "a promotion is ordered", 6)
+        candidate, ordered_at = group.instances[ordered[0][0]], ordered[0][3]
+        other = next(one for one in replicas(group) if one is not candidate)
+        candidate.draining = True
+        await candidate.register()
+        fleet.note(f"{candidate.id} is draining, and reaches neither the store nor the others")
+        candidate.reaches_store = False
+        fleet.system.proxies[candidate.id].cut(holder)
+        set_deaf(fleet, other, False)
+        while other.suspended and time.monotonic() < ordered_at + 6.5:
+            await asyncio.sleep(0.05)
+        check(not candidate.is_listed, "the entry has not expired")
+        group.note("the store is down")
+        fleet.system.store.stop()
+        await sleep_until(ordered_at + late_seconds)
+        check(group.primary() is primary, "a promotion has taken effect already")
+        await group.promote(*ordered[0][:1], ordered[0][2], ordered[0][1])
+        await asyncio.sleep(group.promote_seconds + 0.1)
+        fleet.system.store.start()
+        candidate.reaches_store, fleet.on_order = True, None
+        set_deaf(fleet, candidate, False)
+        for proxy in fleet.system.proxies.values():
+            proxy.mend(holder)
+        fleet.note("all reach each other again")
+        await fleet.check_outcome(time.monotonic())
+
+
 # Guards against replicas that a holder has suspended before it was killed. The commits that wait
 # for them fill the slots of the primary, which needs one to tell its status, and the next holder
 # has no certain candidate, as a replica has left since.
