--- a/tests/line_promotion_test.py
+++ b/tests/line_promotion_test.py
@@ -14,10 +14,12 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "testing"))
 import line_fleet  # noqa: E402
+import line_standins  # noqa: E402
 from line_fleet import check, sleep_until, test, wait_until  # noqa: E402
 
 RESTART_SECONDS = 0.5  # a killed process starts again after a short delay
 OUTAGE_SECONDS = 6.9   # the longest outage of the store and the longest crash of an instance
+LEAVING_SECONDS = 7    # that a leaving instance serves for after its report, and a little longer
 CRASH_SECONDS = 3.0
 
 
@@ -502,6 +504,172 @@
         await fleet.check_outcome(ended_at)
 
 
+# Guards against a group whose leaving primary ends before its replacement was possible. A switchover
+# needs the answer of the primary, which never comes.
+@test("line_promotion")
+async def primaryThatLeavesDuringAnOutage(make_fleet):
+    async with make_fleet() as fleet:
+        await fleet.start_writers()
+        store, group, primary = fleet.system.store, fleet.group, fleet.group.primary()
+        primary.draining = True
+        await primary.register()
+        accepted_at = time.monotonic()
+        group.note(f"{primary.id} is draining, and the store is down")
+        store.stop()
+        await sleep_until(accepted_at + OUTAGE_SECONDS)
+        store.start()
+        group.note("the store is back")
+        for instance in group.instances.values():
+            instance.next_check_in = time.monotonic() + 0.1
+        await sleep_until(accepted_at + LEAVING_SECONDS + 1.5)
+        check(all(instance.is_listed for instance in group.instances.values()),
+              "an entry is not back")
+        await fleet.system.remove_instance(primary)
+        check(not fleet.orders, "a promotion was ordered before the primary ended")
+        new = await fleet.system.add_instance(group, primary.zone, primary.address, primary.log)
+        await new.register()
+        group.note(f"{new.id} joins with the log of {primary.id}")
+        await fleet.check_outcome(time.monotonic())
+
+
+# Guards against a check of the suspension that suspends the replicas of the promoted instance. The
+# commits that wait for them fill its slots, and it needs one to tell that it is primary.
+@test("line_promotion")
+async def slotsOfThePromotedInstanceFill(make_fleet):
+    async with make_fleet() as fleet:
+        await fleet.start_writers(12)
+        group, primary, ordered = fleet.group, fleet.group.primary(), []
+        group.promote_seconds = 2  # the latest
+        loop = asyncio.get_running_loop()
+
+        def promote_between_polls(instance):
+            run = instance.run_control_statement
+
+            async def run_and_promote(verb, term):
+                await run(verb, term)
+                accepted = [order for order in fleet.orders
+                            if order[1] == instance.id and order[4] == 200]
+                if verb == "STATUS" and accepted and not ordered and \
+                        time.monotonic() - accepted[0][0] > 0.8:
+                    ordered.append(instance.id)
+                    loop.call_later(0.08, lambda: asyncio.ensure_future(
+                        group.complete_promotion(instance)))
+            instance.run_control_statement = run_and_promote
+        for instance in group.instances.values():
+            instance.work_seconds = 0.2  # slow at first
+            promote_between_polls(instance)
+        primary.kill("is lost")
+
+        async def is_promoted():
+            return group.primary() not in (primary, None)
+        await wait_until(is_promoted, "another instance leads", 8)
+        check(ordered, "the order took effect by itself")
+        await asyncio.sleep(0.5)
+        for instance in group.instances.values():
+            instance.work_seconds = line_standins.Instance.work_seconds
+        await fleet.check_outcome(time.monotonic())
+
+
+# Guards against an order that is carried out late for a leaving instance that runs although its
+# entry has expired, when the others receive again and the hosts have forgotten the promotion.
+@test("line_promotion")
+async def orderForALeavingInstanceWhoseEntryHasExpired(make_fleet):
+    late_seconds = 11.5
+    async with make_fleet(with_proxies=True) as fleet:
+        await fleet.start_writers(8)
+        group, primary, ordered = fleet.group, fleet.group.primary(), []
+        holder = await separate_duty(fleet, primary)
+
+        async def lose_orders(instance, name, token):
+            if not ordered:
+                ordered.append((instance, name, token, time.monotonic()))
+            return None, None
+        fleet.on_order = lose_orders
+        for replica in replicas(group):
+            set_deaf(fleet, replica, True)
+        await asyncio.sleep(0.5)
+        fleet.note(f"{holder.name} does not reach {primary.id}")
+        fleet.system.proxies[primary.id].cut(holder)
+
+        async def is_ordered():
+            return ordered
+        await wait_until(is_ordered, "a promotion is ordered", 6)
+        candidate, ordered_at = group.instances[ordered[0][0]], ordered[0][3]
+        other = next(one for one in replicas(group) if one is not candidate)
+        candidate.draining = True
+        await candidate.register()
+        fleet.note(f"{candidate.id} is draining, and reaches neither the store nor the others")
+        candidate.reaches_store = False
+        fleet.system.proxies[candidate.id].cut(holder)
+        set_deaf(fleet, other, False)
+        while other.suspended and time.monotonic() < ordered_at + 6.5:
+            await asyncio.sleep(0.05)
+        check(not candidate.is_listed, "the entry has not expired")
+        group.note("the store is down")
+        fleet.system.store.stop()
+        await sleep_until(ordered_at + late_seconds)
+        check(group.primary() is primary, "a promotion has taken effect already")
+        await group.promote(*ordered[0][:1], ordered[0][2], ordered[0][1])
+        await asyncio.sleep(group.promote_seconds + 0.1)
+        fleet.system.store.start()
+        candidate.reaches_store, fleet.on_order = True, None
+        set_deaf(fleet, candidate, False)
+        for proxy in fleet.system.proxies.values():
+            proxy.mend(holder)
+        fleet.note("all reach each other again")
+        await fleet.check_outcome(time.monotonic())
+
+
+# Guards against replicas that a holder has suspended before it was killed. The commits that wait
+# for them fill the slots of the primary, which needs one to tell its status, and the next holder
+# has no certain candidate, as a replica has left since.
+@test("line_promotion")
+async def suspensionOfAHolderThatIsKilled(make_fleet):
+    async with make_fleet(with_proxies=True) as fleet:
+        await fleet.start_writers(8)
+        group, primary, holder = fleet.group, fleet.group.primary(), await fleet.find_holder()
+        leaving = replicas(group)[-1]
+        new = await fleet.system.add_instance(group, leaving.zone, log=leaving.log)
+        await new.register()
+        leaving.draining = True
+        await leaving.register()
+        await asyncio.sleep(0.5)
+        suspended = set()
+
+        def kill_after_suspension(instance):
+            run = instance.run_control_statement
+
+            async def run_and_kill(verb, term):
+                await run(verb, term)
+                if verb == "SUSPEND" and len(suspended) < 3:
+                    suspended.add(instance.id)
+                    if len(suspended) == 3:
+                        fleet.kill(holder)
+            instance.run_control_statement = run_and_kill
+        for replica in replicas(group):
+            kill_after_suspension(replica)
+            set_deaf(fleet, replica, True)
+
+        async def is_full():
+            was_full = primary.busy_slots == primary.slots
+            await asyncio.sleep(0.1)  # longer than a connection takes
+            return was_full and primary.busy_slots == primary.slots
+        await wait_until(is_full, "commits fill the slots of the primary", 2)
+        fleet.note(f"{holder.name} does not reach {primary.id}")
+        fleet.system.proxies[primary.id].cut(holder)
+
+        async def is_killed():
+            return len(suspended) == 3
+        await wait_until(is_killed, "the holder suspends the replicas", 6)
+        check(not fleet.orders, "the order was sent already")
+        await fleet.system.remove_instance(leaving)
+        for replica in replicas(group):
+            set_deaf(fleet, replica, False)
+        check(await is_full(), "the primary has a free slot")
+        fleet.hosts.remove(holder)  # it does not start again
+        await fleet.check_outcome(time.monotonic())
+
+
 # Guards against a holder that is frozen between suspension and order, and orders a promotion when
 # it goes on and another host has taken the duty.
 @test("line_promotion")
