--- a/testing/line_fleet.py
+++ b/testing/line_fleet.py
@@ -9,6 +9,7 @@
 import concurrent.futures
 import datetime
 import fnmatch
+import json
 import os
 import pathlib
 import random
@@ -31,6 +32,8 @@
 GRACE_SECONDS = 6
 LEAVING_LIMIT_SECONDS = 7
 RECOVERY_SECONDS = 12
+RESTART_SECONDS = 0.5  # a killed process starts again after a short delay
+OUTAGE_SECONDS = 6.9   # the longest outage of the store and the longest crash of an instance
 STATEMENT_TIMEOUT_SECONDS = 1
 # Answers that promise that nothing of the statement is kept.
 PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "OVERLOAD")
@@ -257,6 +260,58 @@
     raise Failure(f"not within {timeout} s: {description}")
 
 
+def replicas(group):
+    return [instance for instance in group.instances.values() if instance.role == "replica"]
+
+
+def set_deaf(fleet, instance, is_deaf):
+    instance.deaf = is_deaf
+    fleet.group.note(f"{instance.id} at {instance.received_position()} "
+                     f"{'receives nothing' if is_deaf else 'receives again'}")
+
+
+async def crash_primary(fleet, seconds):
+    """Crashes the primary and starts it again later. Returns it."""
+    primary = fleet.group.primary()
+    primary.kill()
+
+    async def revive():
+        await asyncio.sleep(seconds)
+        primary.revive()
+    asyncio.ensure_future(revive())
+    return primary
+
+
+async def find_dispatcher(fleet, instance):
+    """Returns the host that alone has connections to an instance, or None."""
+    hosts = []
+    for host in fleet.hosts:
+        dump = json.loads((await host.get("/dump")).partition("\r\n\r\n")[2] or "{}")
+        if dump.get("dispatches", {}).get(instance.id, {}).get("open"):
+            hosts.append(host)
+    return hosts[0] if len(hosts) == 1 else None
+
+
+async def separate_duty(fleet, primary):
+    """Lets the holder of the duty and the dispatcher of the primary be different hosts. Returns
+    the holder."""
+    async def is_separate():
+        dispatcher = await find_dispatcher(fleet, primary)
+        return dispatcher and dispatcher is not await fleet.find_holder()
+    holder = await fleet.find_holder()
+    if not await is_separate():
+        fleet.kill(holder)
+
+        async def is_replaced():
+            return await fleet.find_holder() is not holder
+        await wait_until(is_replaced, "another host takes the duty", 6)
+        fleet.restart(holder)
+        await wait_until(holder.is_ready, "the former holder is ready", 6)
+        await wait_until(is_separate, "the holder of the duty is not the dispatcher", 6)
+        await wait_until(fleet.serves_all, "writes are served before the trouble", 5)
+    return await fleet.find_holder()
+
+
 # --- The runner ---
 
 TESTS = {}
