Resume all replicas after an attempt that holds the duty and has no open order

A holder suspends the replicas and is killed before its order; the primary's slots fill with commits that wait, so it gives no status; the next holder has no certain candidate, and suspends nothing itself.

Cause: an attempt that ended without an order resumed replicas only if this process had suspended some.

Why this is right: the holder reads in the store that the duty is still its own, and no order is open, so no promotion depends on the suspension.

--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -562,9 +562,8 @@
   while (State.m_IsRenewingSuspension) // it would suspend a replica again after its resumption
     co_await sleepFor(Host.m_Io, PollInterval);
   // Once another host holds the duty, its attempt may depend on the replicas that this one
-  // suspended. A promotion that an earlier holder began has suspended others.
-  if (!HoldsDutyStill && MayReceive &&
-      (IsPromoted || IsOrderVoid || !State.m_SuspendedReplicas.empty()))
+  // suspended. An earlier holder that was killed may have left others suspended.
+  if (!HoldsDutyStill && MayReceive && (HoldsDuty || !State.m_SuspendedReplicas.empty()))
     HoldsDutyStill = co_await holdsDuty(Host, GroupName, State);
   if (HoldsDutyStill && MayReceive) {
     std::set<std::string> SuspendedIds = std::exchange(State.m_SuspendedReplicas, {});
