Leave the replicas of an instance that leads alone

Cause: the renewal of the suspension asks all replicas. Once the list shows the candidate as primary, it is no replica, so its answer, which would end the renewal, is missing: its replicas are suspended. Its commits wait and fill its slots, its status cannot be read, and the order stays open.

Fix: the renewal ends when the candidate is known as primary and was not when the promotion began. If the only open order names the known primary, the replicas receive; the next attempt reads its status and settles the order. What it holds stays, whenever the order is carried out again.

--- a/src/line_control.cpp
+++ b/src/line_control.cpp
@@ -4,6 +4,8 @@
 
 #include "platform/line_codec.h"
 
+#include <fmt/format.h>
+
 namespace quetzalpaddle {
 
 namespace asio = boost::asio;
@@ -92,4 +94,13 @@
   return Result;
 }
 
+std::string describeReplicas(const std::map<std::string, LineStatus> &Replicas) {
+  std::string Text;
+  for (const auto &[Id, Status] : Replicas)
+    Text +=
+        fmt::format("{}{}:{}.{}/{}", Text.empty() ? "" : " ", Id, Status.m_ReceivedPosition.m_Term,
+                    Status.m_ReceivedPosition.m_Index, Status.m_SuspendTerm);
+  return Text;
+}
+
 } // namespace quetzalpaddle
--- a/src/line_control.h
+++ b/src/line_control.h
@@ -34,4 +34,8 @@
 std::map<std::string, LineStatus>
 collectSuspended(const std::map<std::string, ControlAnswer> &Answers, uint64_t Term);
 
+// Lists replicas for logs: id, term and number of the position received, and the term up to which
+// it is suspended.
+std::string describeReplicas(const std::map<std::string, LineStatus> &Replicas);
+
 } // namespace quetzalpaddle
--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -16,8 +16,6 @@
 
 namespace quetzalpaddle {
 
-namespace asio = boost::asio;
-
 namespace {
 
 // Interval of the check of all groups.
@@ -69,17 +67,6 @@
            {"why", std::move(ReasonText)}});
 }
 
-// Lists the replicas of an attempt for logs: term and number of the position received, and the term
-// up to which it is suspended.
-std::string describeReplicas(const std::map<std::string, LineStatus> &Replicas) {
-  std::string Text;
-  for (const auto &[Id, Status] : Replicas)
-    Text +=
-        fmt::format("{}{}:{}.{}/{}", Text.empty() ? "" : " ", Id, Status.m_ReceivedPosition.m_Term,
-                    Status.m_ReceivedPosition.m_Index, Status.m_SuspendTerm);
-  return Text;
-}
-
 // Lists the replicas that gave no answer for logs, with the time since they left the list.
 std::string describeMissing(const LineGroup &Group, const std::set<std::string> &Ids) {
   std::string Text;
@@ -257,13 +244,16 @@
 
 // Suspends the replicas other than the candidate that receive although a promotion is under way:
 // new ones, and those that have restarted or that a former holder of the duty has resumed.
-Awaitable<void> renewSuspension(LineHost &Host, std::string GroupName, std::string Candidate) {
+// FormerPrimary: the primary when the promotion began.
+Awaitable<void> renewSuspension(LineHost &Host, std::string GroupName, std::string Candidate,
+                                std::string FormerPrimary) {
   LineGroup &Group = Host.m_Groups[GroupName];
   Takeover &State = Host.m_Takeovers[GroupName];
   auto Statuses = collectStatuses(co_await runControlStatements(
       Host, GroupName, listInstances(Group, true), std::string(platform::StatusText)));
   // The attempt may have ended, and resumed the replicas, while they were asked.
-  bool HasEnded = State.m_Duty.m_OpenOrders.empty() ||
+  bool IsPromoted = Group.m_Primary == Candidate && FormerPrimary != Candidate;
+  bool HasEnded = IsPromoted || State.m_Duty.m_OpenOrders.empty() ||
                   (Statuses.contains(Candidate) && Statuses[Candidate].m_IsPrimary);
   std::erase_if(Statuses, [&](const auto &Entry) {
     return Entry.first == Candidate || Entry.second.m_IsPrimary ||
@@ -303,6 +293,7 @@
   PromotionDuty NewDuty = State.m_Duty;
   NewDuty.m_OpenOrders.insert(Candidate);
   bool HasEarlierOrder = !State.m_Duty.m_OpenOrders.empty();
+  const std::string FormerPrimary = Group.m_Primary;
   // Fails if another host has taken the duty since.
   if (!co_await writeDuty(Host, Group, State, std::move(NewDuty)))
     co_return false;
@@ -347,7 +338,8 @@
       Group.m_PendingGenerationAt = bootNow();
     // Not awaited: a replica that does not answer must not delay the end of the promotion.
     if (!std::exchange(State.m_IsCheckingSuspension, true))
-      spawnTask(Host, "renew_suspension", renewSuspension(Host, Group.m_Name, Candidate),
+      spawnTask(Host, "renew_suspension",
+                renewSuspension(Host, Group.m_Name, Candidate, FormerPrimary),
                 [&State] { State.m_IsCheckingSuspension = State.m_IsRenewingSuspension = false; });
     const LineInstance *Target = findInstance(Host, Candidate);
     if (!Target)
@@ -543,7 +535,10 @@
   // may fill the slots of a primary, so that it could not even tell its status.
   bool IsOrderVoid = IsListed && IsOrderOpen && Candidate.empty() &&
                      haveEnded(Group, State.m_Duty.m_OpenOrders, Now, DefaultSettings);
-  bool MayReceive = !IsOrderOpen || IsOrderVoid;
+  // The same for a primary that was promoted by the open order. It leads with all that it holds.
+  bool IsOrderDone = IsOrderOpen && State.m_Duty.m_OpenOrders.size() == 1 &&
+                     *State.m_Duty.m_OpenOrders.begin() == Group.m_Primary;
+  bool MayReceive = !IsOrderOpen || IsOrderVoid || IsOrderDone;
   if (IsPromoted)
     notePromotion(Group, Candidate, State.m_Duty.m_Token, Now);
   else if (!IsOrderOpen)
@@ -571,6 +566,7 @@
     logTakeover(Group, State, "replicas_resumed",
                 IsPromoted || IsFinished ? "promotion done"
                 : IsOrderVoid            ? "the instance of the open order has ended"
+                : IsOrderDone            ? "the instance of the open order leads"
                                          : "attempt without an order ended",
                 fmt::format("{}", fmt::join(SuspendedIds, " ")));
     co_await resumeReplicas(Host, GroupName, SuspendedIds);
