Take the instance of an open order for gone only if its address refuses

An order for a leaving replica gets no answer; the replica runs, but is cut off from the store and from the holder of the duty, and its entry expires. It counted as ended, the others received again, and, once the store was down and the hosts had forgotten the promotion, its order came late.

Cause: that an instance has ended was inferred from its entry alone.

Fix: before the replicas receive again, the instances of all open orders are asked once more. A refusal, or a connection that is closed without an answer, shows that they do not run; silence shows nothing, and the replicas stay suspended.

--- a/src/line_control.cpp
+++ b/src/line_control.cpp
@@ -23,10 +23,15 @@
   auto Endpoint = parseEndpoint(Address);
   if (!Endpoint)
     co_return Result;
+  auto IsOver = std::make_shared<bool>(false);
   auto Connection = std::make_shared<LineConnection>(Tcp::socket(Host.m_Io));
   ScopedDeadline Deadline(Host.m_DeadlineQueue, bootNow() + TakeoverSettings().m_ProbeTimeout,
-                          [Connection] { closeSocket(Connection->m_Socket); });
+                          [Connection, IsOver] {
+                            *IsOver = true;
+                            closeSocket(Connection->m_Socket);
+                          });
   auto [Error] = co_await Connection->m_Socket.async_connect(*Endpoint, AsTuple);
+  Result.m_IsSilent = *IsOver;
   if (Error)
     co_return Result;
   co_await writeText(*Connection, platform::formatConnect(Group, ControlCustomer, Instance) +
@@ -44,6 +49,7 @@
       ++ReadyCount;
   }
   Result.m_IsReachable = Result.m_IsReachable || Result.m_Status.has_value();
+  Result.m_IsSilent = *IsOver && !Result.m_IsReachable;
   closeSocket(Connection->m_Socket);
   co_return Result;
 }
@@ -103,4 +109,16 @@
   return Text;
 }
 
+std::string describeMissing(const LineGroup &Group, const std::set<std::string> &Ids) {
+  std::string Text;
+  for (const std::string &Id : Ids) {
+    auto It = Group.m_Instances.find(Id);
+    bool IsUnlisted = It != Group.m_Instances.end() && !It->second.m_IsListed;
+    Text += (Text.empty() ? "" : " ") + Id;
+    if (IsUnlisted)
+      Text += fmt::format(":unlisted_ms={}", (bootNow() - It->second.m_UnlistedSince) / Millis(1));
+  }
+  return Text;
+}
+
 } // namespace quetzalpaddle
--- a/src/line_control.h
+++ b/src/line_control.h
@@ -14,6 +14,7 @@
 // The answer to a status, suspend or resume statement.
 struct ControlAnswer {
   bool m_IsReachable = false; // it answered, possibly only that it is busy
+  bool m_IsSilent = false;    // nothing came within the time limit, not even a refusal
   std::optional<LineStatus> m_Status;
 };
 
@@ -38,4 +39,7 @@
 // it is suspended.
 std::string describeReplicas(const std::map<std::string, LineStatus> &Replicas);
 
+// Lists replicas that gave no answer for logs, with the time since they left the list.
+std::string describeMissing(const LineGroup &Group, const std::set<std::string> &Ids);
+
 } // namespace quetzalpaddle
--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -67,19 +67,6 @@
            {"why", std::move(ReasonText)}});
 }
 
-// Lists the replicas that gave no answer for logs, with the time since they left the list.
-std::string describeMissing(const LineGroup &Group, const std::set<std::string> &Ids) {
-  std::string Text;
-  for (const std::string &Id : Ids) {
-    auto It = Group.m_Instances.find(Id);
-    bool IsUnlisted = It != Group.m_Instances.end() && !It->second.m_IsListed;
-    Text += (Text.empty() ? "" : " ") + Id;
-    if (IsUnlisted)
-      Text += fmt::format(":unlisted_ms={}", (bootNow() - It->second.m_UnlistedSince) / Millis(1));
-  }
-  return Text;
-}
-
 // Logs the state on which the choice of a candidate rests.
 void logChoice(const LineGroup &Group, const Takeover &State,
                const std::map<std::string, LineStatus> &Replicas,
@@ -382,6 +369,19 @@
   sendGossip(Host, Group.m_SuccessorAt);
 }
 
+// Returns whether the instances of the open orders have ended, so that none carries out its order:
+// they have left the list, and their addresses refuse. One that gives no answer may be cut off.
+Awaitable<bool> areOrdersVoid(LineHost &Host, const LineGroup &Group,
+                              std::set<std::string> OpenOrders) {
+  if (!haveEnded(Group, OpenOrders, bootNow(), DefaultSettings))
+    co_return false;
+  auto Answers = co_await runControlStatements(Host, Group.m_Name, OpenOrders,
+                                               std::string(platform::StatusText));
+  co_return std::ranges::none_of(Answers, [](const auto &Entry) {
+    return Entry.second.m_IsSilent || Entry.second.m_IsReachable;
+  });
+}
+
 // Prepares a switchover from a healthy primary. Suspends all replicas but the candidate, so that
 // every acknowledged commit passes through it.
 Awaitable<Choice> prepareSwitchover(LineHost &Host, LineGroup &Group, Takeover &State) {
@@ -534,7 +534,7 @@
   // An instance that has ended leads no more. As long as no replica receives, the commits that wait
   // may fill the slots of a primary, so that it could not even tell its status.
   bool IsOrderVoid = IsListed && IsOrderOpen && Candidate.empty() &&
-                     haveEnded(Group, State.m_Duty.m_OpenOrders, Now, DefaultSettings);
+                     co_await areOrdersVoid(Host, Group, State.m_Duty.m_OpenOrders);
   // The same for a primary that was promoted by the open order. It leads with all that it holds.
   bool IsOrderDone = IsOrderOpen && State.m_Duty.m_OpenOrders.size() == 1 &&
                      *State.m_Duty.m_OpenOrders.begin() == Group.m_Primary;
