Let a draining holder confirm smaller rate slots

Cause: when a data centre is added to rate/CUSTOMER, nobody acquires a slot before each holder has confirmed the smaller share. A host made no slot plans from the order to stop until it was idle, which can be 30 s, so it never confirmed. All other hosts lived on its tokens, and when it released its slots, nobody held any. The trace of a failing run shows it: six slots, one held by h1-1 with the divisor 4, its plan due 32 ms after "draining" and never run; at the release no holder is left, and h1-2 refuses the next request with no slot and no holder to ask.

Now a draining host goes on planning, but only confirms its own slots: it adds, acquires and releases none until it is idle. The bound holds since a confirming write follows the same rules as before; the simulation of the rate bound now drains holders as well, and still finds the excess with each safeguard disabled.

--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -381,7 +381,8 @@
     for (size_t Index = 0; Index < 2 * DataCentres; ++Index)
       Preferred[dataCentre(Index / 2)].push_back(hostName(Index));
     return measureCallNs([&] {
-      SlotPlan Plan = planSlots(Slots, Preferred, hostName(0), 1, false, Leases, Now, {});
+      SlotPlan Plan =
+          planSlots(Slots, Preferred, hostName(0), 1, SlotPhase::Serving, Leases, Now, {});
       doNotOptimize(Plan);
     });
   });
--- a/src/quetzalpaddle.h
+++ b/src/quetzalpaddle.h
@@ -319,6 +319,10 @@
 bool hasLeaseExpired(const LeaseObservation &Observation, TimePoint Now,
                      const RateSettings &Settings);
 
+// What a host does with its rate slots: a draining host keeps those that it holds and acquires no
+// others; a releasing host gives them up.
+enum class SlotPhase : uint8_t { Serving, Draining, Releasing };
+
 struct SlotPlan {
   std::vector<SlotAssignment> m_Slots;       // new content of rate/CUSTOMER
   bool m_HasChanged = false;                 // whether m_Slots has to be written
@@ -338,7 +342,7 @@
 //   may still take effect.
 SlotPlan planSlots(const std::vector<SlotAssignment> &Current,
                    const std::map<std::string, std::vector<std::string>> &PreferredByDataCentre,
-                   const std::string &Self, uint64_t SelfIncarnation, bool IsDraining,
+                   const std::string &Self, uint64_t SelfIncarnation, SlotPhase SelfPhase,
                    const std::map<std::string, LeaseObservation> &Leases, TimePoint Now,
                    const RateSettings &Settings);
 
--- a/src/rate_control.cpp
+++ b/src/rate_control.cpp
@@ -145,7 +145,7 @@
 
 SlotPlan planCustomer(const Host &ThisHost, const std::string &Customer,
                       const KnownSlots &CurrentSlots, const HostsByDataCentre &HostPartitions,
-                      bool IsDraining, TimePoint Now) {
+                      SlotPhase Phase, TimePoint Now) {
   std::map<std::string, std::vector<std::string>> PreferredHosts;
   for (const auto &[DataCentre, DataCentreHosts] : HostPartitions)
     PreferredHosts[DataCentre] = orderHosts(DataCentreHosts, Customer, DataCentre, false, Now,
@@ -160,8 +160,7 @@
                                     .m_IsExpired = false,
                                     .m_UnchangedSince = Now};
   return planSlots(CurrentSlots.m_Slots, PreferredHosts, ThisHost.m_Rate.m_Host,
-                   OwnLeaseState.m_Incarnation, IsDraining, Leases, Now,
-                   ThisHost.m_Settings.m_Rate);
+                   OwnLeaseState.m_Incarnation, Phase, Leases, Now, ThisHost.m_Settings.m_Rate);
 }
 
 void retryPlan(Host &ThisHost, const std::string &Customer) {
@@ -253,7 +252,8 @@
       Now + PlanInterval * 3 / 4 + makeJitter(ThisHost, PlanInterval / 2));
   if (!IsInvolved)
     return;
-  SlotPlan NewPlan = planCustomer(ThisHost, Customer, CurrentSlots, HostPartitions, false, Now);
+  SlotPhase Phase = ThisHost.m_IsDraining ? SlotPhase::Draining : SlotPhase::Serving;
+  SlotPlan NewPlan = planCustomer(ThisHost, Customer, CurrentSlots, HostPartitions, Phase, Now);
   // A later plan takes over the slots of these hosts, once their leases are marked as expired in
   // the store.
   for (const std::string &Holder : NewPlan.m_LeasesToExpire)
@@ -266,7 +266,7 @@
   SyncState &Sync = *ThisHost.m_Sync;
   // The data centres are not known before the platform's host list has been read.
   if (!Sync.m_IsLoaded || !Sync.m_HasHostList || !ThisHost.m_Rate.m_IsLeaseValid ||
-      ThisHost.m_IsDraining || Sync.m_SlotRelease)
+      Sync.m_SlotRelease)
     return;
   if (Now >= Sync.m_NextUsableCheckAt) {
     Sync.m_NextUsableCheckAt = Now + UsableCheckInterval;
@@ -311,8 +311,9 @@
 void releaseCustomerSlots(Host &ThisHost, const std::string &Customer, uint32_t RemainingAttempts) {
   KnownSlots CurrentSlots = readSlots(ThisHost, Customer);
   TimePoint Now = Clock::now();
-  SlotPlan NewPlan = planCustomer(ThisHost, Customer, CurrentSlots,
-                                  partitionHostsByDataCentre(ThisHost, Now), true, Now);
+  SlotPlan NewPlan =
+      planCustomer(ThisHost, Customer, CurrentSlots, partitionHostsByDataCentre(ThisHost, Now),
+                   SlotPhase::Releasing, Now);
   if (!NewPlan.m_HasChanged || RemainingAttempts == 0) {
     finishCustomerRelease(ThisHost);
     return;
--- a/src/slots.cpp
+++ b/src/slots.cpp
@@ -8,9 +8,10 @@
 //
 // The number of rate slots increases when a data centre is added. All holders have to use the
 // smaller share (m_RateDivisor) before the new rate slots can be acquired; otherwise the rate would
-// be exceeded until every holder has read the object. The number never decreases. Rate slots of a
-// data centre without hosts are held by hosts elsewhere and released when the data centre has hosts
-// again.
+// be exceeded until every holder has read the object. A draining holder confirms the smaller share
+// as well: nobody could acquire a new rate slot otherwise until it stops, and then all would be
+// free at once. The number never decreases. Rate slots of a data centre without hosts are held by
+// hosts elsewhere and released when the data centre has hosts again.
 //
 // Trade-off: a failed holder whose lease has not expired delays new rate slots, and its own rate
 // slots issue no tokens for the lease duration and margin, 12.6 min. In return, no token is issued
@@ -92,13 +93,15 @@
 
 SlotPlan planSlots(const std::vector<SlotAssignment> &Current,
                    const Preferences &PreferredByDataCentre, const std::string &Self,
-                   uint64_t SelfIncarnation, bool IsDraining,
+                   uint64_t SelfIncarnation, SlotPhase SelfPhase,
                    const std::map<std::string, LeaseObservation> &Leases, TimePoint Now,
                    const RateSettings &Settings) {
   SlotPlan Plan;
   Plan.m_Slots = Current;
   for (const auto &[DataCentre, Hosts] : PreferredByDataCentre) {
-    for (uint32_t Number = 0; !Hosts.empty() && Number < Settings.m_SlotsPerDataCentre; ++Number) {
+    if (Hosts.empty() || SelfPhase == SlotPhase::Draining)
+      continue;
+    for (uint32_t Number = 0; Number < Settings.m_SlotsPerDataCentre; ++Number) {
       auto IsSame = [&, &SlotDataCentre = DataCentre](const SlotAssignment &S) {
         return S.m_DataCentre == SlotDataCentre && S.m_Number == Number;
       };
@@ -115,7 +118,10 @@
   for (SlotAssignment &Slot : Plan.m_Slots) {
     if (Slot.m_Holder != Self || Self.empty())
       continue;
-    if (IsDraining || shouldReleaseSlot(Plan.m_Slots, Slot, PreferredByDataCentre, Self)) {
+    bool IsReleased = SelfPhase == SlotPhase::Releasing ||
+                      (SelfPhase == SlotPhase::Serving &&
+                       shouldReleaseSlot(Plan.m_Slots, Slot, PreferredByDataCentre, Self));
+    if (IsReleased) {
       clearHolder(Slot);
       Plan.m_HasChanged = true;
     } else if (Slot.m_Incarnation != SelfIncarnation || Slot.m_RateDivisor != SlotCount) {
@@ -124,7 +130,7 @@
       Plan.m_HasChanged = true;
     }
   }
-  if (IsDraining)
+  if (SelfPhase != SlotPhase::Serving)
     return Plan;
   bool IsDivisorConfirmed = std::ranges::all_of(Plan.m_Slots, [&](const SlotAssignment &S) {
     return S.m_Holder.empty() || S.m_RateDivisor == SlotCount || hasHolderLeaseExpired(S, Leases);
--- a/tests/rate_test.cpp
+++ b/tests/rate_test.cpp
@@ -238,10 +238,11 @@
           for (SlotAssignment &Slot : CurrentSlots)
             Slot.m_RateDivisor = (Sim.m_Options.m_DataCentreCount - (UsesLastDataCentre ? 0 : 1)) *
                                  Settings.m_SlotsPerDataCentre;
-        bool IsDraining = Sim.m_Options.m_InjectFaults && drawBool(Sim, 0.01);
-        SlotPlan Plan =
-            planSlots(CurrentSlots, HostsByDataCentre, State.m_Rate.m_Host, State.m_Incarnation,
-                      IsDraining, State.m_Leases, LocalNow, Settings);
+        SlotPhase Phase = SlotPhase::Serving;
+        if (Sim.m_Options.m_InjectFaults && drawBool(Sim, 0.05))
+          Phase = drawBool(Sim, 0.2) ? SlotPhase::Releasing : SlotPhase::Draining;
+        SlotPlan Plan = planSlots(CurrentSlots, HostsByDataCentre, State.m_Rate.m_Host,
+                                  State.m_Incarnation, Phase, State.m_Leases, LocalNow, Settings);
         for (const std::string &Name : Plan.m_LeasesToExpire) {
           uint64_t Version = State.m_Leases[Name].m_Version;
           std::function<bool()> Expire = [&Sim, Name, Version] {
@@ -431,6 +432,40 @@
   cr_assert_not(checkRateBound(DisabledGuard::SplitConfirmation, 150));
 }
 
+// Guards against a draining holder that keeps the whole fleet from new rate slots: it confirms the
+// smaller share of its own, and neither adds, acquires nor releases any.
+Test(rate, drainingHolderConfirmsTheSmallerShare) {
+  std::vector<SlotAssignment> Slots(4);
+  for (uint32_t Number = 0; Number < Slots.size(); ++Number) {
+    Slots[Number].m_DataCentre = Number < 2 ? "dc1" : "dc2";
+    Slots[Number].m_Number = Number % 2;
+  }
+  Slots[0].m_Holder = "a";
+  Slots[0].m_Incarnation = 1;
+  Slots[0].m_RateDivisor = 2;
+  std::map<std::string, std::vector<std::string>> PreferredHosts = {
+      {"dc1", {"b"}}, {"dc2", {"c"}}, {"dc3", {"d"}}};
+  TimePoint Now = TimePoint{} + std::chrono::hours(1);
+  auto Plan = [&](const std::string &Self, SlotPhase Phase) {
+    return planSlots(Slots, PreferredHosts, Self, 1, Phase, {}, Now, {});
+  };
+  auto CountHeld = [](const SlotPlan &Each, const std::string &Host) {
+    return std::ranges::count(Each.m_Slots, Host, &SlotAssignment::m_Holder);
+  };
+  cr_assert_eq(CountHeld(Plan("b", SlotPhase::Serving), "b"), 0, "taken before the confirmation");
+  SlotPlan Confirmed = Plan("a", SlotPhase::Draining);
+  cr_assert(Confirmed.m_HasChanged);
+  cr_assert_eq(Confirmed.m_Slots.size(), 4);
+  cr_assert_eq(CountHeld(Confirmed, "a"), 1);
+  cr_assert_eq(Confirmed.m_Slots[0].m_RateDivisor, 4);
+  Slots = Confirmed.m_Slots;
+  cr_assert_not(Plan("a", SlotPhase::Draining).m_HasChanged);
+  PreferredHosts.erase("dc3");
+  cr_assert_eq(CountHeld(Plan("b", SlotPhase::Serving), "b"), 1);
+  cr_assert_eq(CountHeld(Plan("c", SlotPhase::Serving), "c"), 2);
+  cr_assert_eq(CountHeld(Plan("a", SlotPhase::Releasing), "a"), 0);
+}
+
 namespace {
 
 // Makes 16 hosts in 4 data centres, where 4 hosts get 10 times the demand of each other host and
--- a/tests/system_test.cpp
+++ b/tests/system_test.cpp
@@ -1,10 +1,12 @@
 // Runs a whole system over loopback sockets under faults and checks the recorded histories.
 #include "system.h"
 
+#include "config_codec.h"
 #include "host.h"
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <array>
 #include <future>
 #include <thread>
@@ -151,6 +153,50 @@
   }
 }
 
+// Guards against a customer that is refused everywhere once a holder of its rate has drained: while
+// that host drains, the others take the rate slots that a new data centre has added.
+Test(system, othersTakeNewRateSlotsWhileAHolderDrains, .timeout = 120) {
+  auto System = startSystem({});
+  cr_assert(System);
+  const std::string Name = "rate/acme";
+  objects::RateSlots Slots;
+  cr_assert(waitUntil(
+      [&] {
+        return decodeMessage(readObject(*System->m_Platform, Name).value(), Slots) &&
+               std::ranges::none_of(Slots.slots(),
+                                    [](const auto &Slot) { return Slot.holder().empty(); });
+      },
+      PromotionLimit));
+  runOnControlThread(*System->m_Hosts[0].m_Running, [](Host &H) { H.m_IsDraining = true; });
+  const std::string Holder = System->m_Hosts[0].m_Settings.m_HostId;
+  for (objects::RateSlot &Slot : *Slots.mutable_slots()) {
+    bool IsKept = Slot.holder() == Holder;
+    if (!IsKept)
+      Slot.clear_holder();
+    Slot.set_split(IsKept ? Slot.split() - 2 : 0);
+  }
+  cr_assert(std::ranges::count(Slots.slots(), Holder, &objects::RateSlot::holder) > 0);
+  storeObject(*System, Name, encodeMessage(Slots));
+  cr_assert(waitUntil(
+                [&] {
+                  objects::RateSlots Now;
+                  return decodeMessage(readObject(*System->m_Platform, Name).value(), Now) &&
+                         std::ranges::count(Now.slots(), "", &objects::RateSlot::holder) == 0;
+                },
+                PromotionLimit),
+            "%s", readObject(*System->m_Platform, Name).value().c_str());
+  std::promise<void> DrainEnd;
+  drainHost(*System->m_Hosts[0].m_Running, [&DrainEnd] { DrainEnd.set_value(); });
+  DrainEnd.get_future().wait();
+  killHost(*System, 0);
+  for (size_t HostIndex = 1; HostIndex < System->m_Hosts.size(); ++HostIndex) {
+    CallerAnswer Result =
+        callHost(*System, HostIndex, makeWrite(*System, "row", "w" + std::to_string(HostIndex)));
+    cr_assert(Result.m_Class == AnswerClass::Done, "host %zu: %s", HostIndex,
+              Result.m_Message.c_str());
+  }
+}
+
 // Guards against a second order to stop that is never answered, and against one that comes after
 // the host has stopped.
 Test(system, everyOrderToStopIsAnswered, .timeout = 60) {
