Keep other tests out of the ports of a test's killed hosts

matrix::hostKilled failed beside other tests with up to 358 problems, for example "session_order: session 1 row row1: read 164, then 33" and "lost_write: request s2-73 was acknowledged, but did not take effect".

Cause: in the tests, not in the product. Each test process chose its ports from the block pid % 100, and took each port that could be bound. Two processes with such pids at a time shared a block. When the first killed a host, the second started its own host on the four ports that had become free; all tests use the same host names and secrets, so the hosts of both systems answered each other's requests.

Now a process claims its block by a bound port that it holds until it ends, and takes the next block if another one holds it, as the process tests do.

--- a/testing/system.cpp
+++ b/testing/system.cpp
@@ -21,24 +21,46 @@
 constexpr std::chrono::seconds StartTimeout{20};
 constexpr std::chrono::seconds CallTimeout{40};
 
-// Returns a free port, or 0 if there is none. Ports are below the range of ephemeral ports, because
-// an outgoing connection could take one of those before it is used. Each process has its own block
-// of ports, by its process id.
+// Ports are below the range of ephemeral ports, because an outgoing connection could take one of
+// those before it is used.
+constexpr int FirstPort = 10000;
+constexpr int PortsPerBlock = 200;
+constexpr int PortBlocks = 100;
+
+bool bindPort(boost::asio::ip::tcp::acceptor &Acceptor, int Port) {
+  boost::system::error_code Error;
+  Acceptor.open(boost::asio::ip::tcp::v4());
+  Acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), static_cast<uint16_t>(Port)}, Error);
+  if (Error)
+    Acceptor.close();
+  return !Error;
+}
+
+// Claims a block of ports for this process, which holds the first of them until it ends. A host
+// that is down leaves its ports free: if another test started a host there, the hosts of both
+// systems would take it for theirs, since all tests use the same names and secrets. Returns the
+// claimed port, or 0 if there is no free block.
+int claimPortBlock() {
+  static boost::asio::io_context Io;
+  static boost::asio::ip::tcp::acceptor Claim(Io);
+  for (int Tries = 0; Tries < PortBlocks; ++Tries) {
+    int Port = FirstPort + (getpid() + Tries) % PortBlocks * PortsPerBlock;
+    if (bindPort(Claim, Port))
+      return Port;
+  }
+  return 0;
+}
+
+// Returns a free port of this process's block, or 0 if there is none.
 uint16_t findFreePort() {
-  constexpr int First = 10000;
-  constexpr int BlockSize = 200;
-  constexpr int Blocks = 100;
+  static const int Block = claimPortBlock();
   static std::atomic<int> NextOffset = 0;
   boost::asio::io_context Io;
-  for (int Tries = 0; Tries < BlockSize; ++Tries) {
-    auto Port =
-        static_cast<uint16_t>(First + (getpid() % Blocks) * BlockSize + NextOffset++ % BlockSize);
-    boost::system::error_code Error;
+  for (int Tries = 1; Block != 0 && Tries < PortsPerBlock; ++Tries) {
+    int Port = Block + 1 + NextOffset++ % (PortsPerBlock - 1);
     boost::asio::ip::tcp::acceptor Acceptor(Io);
-    Acceptor.open(boost::asio::ip::tcp::v4());
-    Acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), Port}, Error);
-    if (!Error)
-      return Port;
+    if (bindPort(Acceptor, Port))
+      return static_cast<uint16_t>(Port);
   }
   return 0;
 }
