--- a/src/line_host.h
+++ b/src/line_host.h
@@ -394,6 +394,9 @@
 // Reads the newest list of instances from the store and applies what is new in it. Returns whether
 // this host then knows every instance that runs.
 Awaitable<bool> refreshInstances(LineHost &Host);
+// Returns when the store last answered this host, or another one as far as this host has heard. A
+// leaf hears of the watchers through its home hub, which may be none.
+TimePoint newestStoreAnswer(const LineHost &Host);
 // Returns whether this host watches the store. Two hubs of each data centre do; while no host that
 // this one hears of has had an answer lately, the other hubs and a few leaves try as well.
 bool shouldWatchStore(const LineHost &Host, TimePoint Now);
--- a/src/line_sync.cpp
+++ b/src/line_sync.cpp
@@ -459,6 +459,13 @@
   co_return hasCompleteInstances(Host, bootNow());
 }
 
+TimePoint newestStoreAnswer(const LineHost &Host) {
+  TimePoint Newest = Host.m_Store.m_LastAnswerAt;
+  for (const auto &[Id, Peer] : Host.m_GossipStates)
+    Newest = std::max(Newest, Peer.m_LastStoreAnswerAt);
+  return Newest;
+}
+
 bool shouldWatchStore(const LineHost &Host, TimePoint Now) {
   bool IsStarting =
       Now - Host.m_StartedAt < (Host.m_Store.m_HasHostList ? StartupWait : HostListWait);
--- a/src/line_takeover.cpp
+++ b/src/line_takeover.cpp
@@ -533,8 +533,9 @@
     Group.m_Successor.clear();
   // An instance that has ended leads no more. As long as no replica receives, the commits that wait
   // may fill the slots of a primary, so that it could not even tell its status.
-  bool IsOrderVoid = IsListed && IsOrderOpen && Candidate.empty() &&
-                     co_await areOrdersVoid(Host, Group, State.m_Duty.m_OpenOrders);
+  bool IsOrderVoid = false;
+  if (IsListed && IsOrderOpen && Candidate.empty())
+    IsOrderVoid = co_await areOrdersVoid(Host, Group, State.m_Duty.m_OpenOrders);
   // The same for a primary that was promoted by the open order. It leads with all that it holds.
   bool IsOrderDone = IsOrderOpen && State.m_Duty.m_OpenOrders.size() == 1 &&
                      *State.m_Duty.m_OpenOrders.begin() == Group.m_Primary;
--- a/src/line_updates.cpp
+++ b/src/line_updates.cpp
@@ -319,15 +319,6 @@
   }
 }
 
-// Returns when the store last answered this host, or another one as far as this host has heard. A
-// leaf hears of the watchers through its home hub, which may be none.
-TimePoint newestStoreAnswer(const LineHost &Host) {
-  TimePoint Newest = Host.m_Store.m_LastAnswerAt;
-  for (const auto &[Id, Peer] : Host.m_GossipStates)
-    Newest = std::max(Newest, Peer.m_LastStoreAnswerAt);
-  return Newest;
-}
-
 // Returns what every update of this host contains.
 line::Gossip makeUpdate(LineHost &Host, const Draft &Update) {
   line::Gossip Message;
