Count the replicas that hold a checked commit up to syncReplicas

Found by reading, no caller has seen it: with syncReplicas 2 a promotion goes ahead although one known replica gives no answer. A commit that only this one and a new replica held was passed on while a hub was silent.

Fix: as many of the known replicas have to hold it as the acknowledgement needs, or all if they are fewer. With syncReplicas 1, as on the users' sites, nothing changes.

No test has syncReplicas 2.

--- a/src/line_commit.cpp
+++ b/src/line_commit.cpp
@@ -51,8 +51,18 @@
          (Replica && holdsCommit(Replica->m_AppliedPosition, Committed));
 }
 
-// Waits until the acknowledgement of a commit suffices, or one of the replicas that have to hold it
-// does. Returns false if none does in time.
+// Whether enough of the replicas are known to hold a commit. A promotion leaves out fewer than
+// syncReplicas of them.
+bool isHeld(LineHost &Host, const LineGroup &Group, const std::set<std::string> &Replicas,
+            Position Committed) {
+  auto HolderCount = static_cast<size_t>(std::ranges::count_if(
+      Replicas, [&](const std::string &Id) { return isHolder(Host, Id, Committed); }));
+  return HolderCount >=
+         std::clamp<size_t>(Group.m_SyncReplicas, 1, std::max<size_t>(Replicas.size(), 1));
+}
+
+// Waits until the acknowledgement of a commit suffices, or enough of the replicas that have to hold
+// it do. Returns false if that takes too long.
 Awaitable<bool> awaitHolder(LineHost &Host, std::string GroupName, std::string Instance,
                             Position Committed) {
   TimePoint Deadline = bootNow() + HolderTimeout;
@@ -61,9 +71,7 @@
     auto Holders = listRequiredHolders(
         Host.m_Groups[GroupName], Instance,
         hearsAllHubs(Host.m_Members, Host.m_Roles, Now, Host.m_HubSettings), Now);
-    if (!Holders || std::ranges::any_of(*Holders, [&](const std::string &Id) {
-          return isHolder(Host, Id, Committed);
-        }))
+    if (!Holders || isHeld(Host, Host.m_Groups[GroupName], *Holders, Committed))
       co_return true;
     if (Holders->empty() || Now >= Deadline)
       co_return false;
